--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 # Run from this checkout, also when VENV is shared between work trees.
-export PYTHONPATH = $(CURDIR)/src:$(CURDIR)
+export PYTHONPATH = $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 export PYTHONHASHSEED = 0
 
 .PHONY: demo test lint format bench promises
--- /dev/null
+++ b/src/tanagerkeel/addresses.py
@@ -0,0 +1,20 @@
+"""Addresses as settings write them."""
+
+import ipaddress
+
+__all__ = ["split_address"]
+
+MAX_PORT = 65_535
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """
+    Return the IP number and port of ``IP:PORT``.
+
+    :raises ValueError: when it isn't one.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"{address!r} has no valid port")
+    return host, int(port)
--- a/src/tanagerkeel/cli/standin.py
+++ b/src/tanagerkeel/cli/standin.py
@@ -11,9 +11,9 @@
 import typer
 
 from tanagerkeel import codec
+from tanagerkeel.addresses import split_address
 from tanagerkeel.cli._demo import show
 from tanagerkeel.cli._demo_system import DemoPorts, DemoSystem
-from tanagerkeel.entry import split_address
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.standins import (
--- a/src/tanagerkeel/clock.py
+++ b/src/tanagerkeel/clock.py
@@ -18,6 +18,9 @@
     def wall(self) -> float:
         """Return seconds since the epoch; it may step in both directions."""
 
+    def boottime(self) -> float:
+        """Return seconds that never go back and count time spent suspended."""
+
     async def sleep(self, seconds: float) -> None:
         """Wait for ``seconds``."""
 
@@ -34,6 +37,10 @@
         """Return seconds since the epoch."""
         return time.time()
 
+    def boottime(self) -> float:
+        """Return the machine's time since its start, suspended time included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     async def sleep(self, seconds: float) -> None:
         """Wait for ``seconds``."""
         await asyncio.sleep(seconds)
@@ -45,6 +52,7 @@
 
     _monotonic_s: float = 1_000.0
     _wall_s: float = 1_800_000_000.0
+    _suspended_s: float = 0.0
     _sleepers: list[tuple[float, asyncio.Event]] = attrs.field(factory=list)
 
     def monotonic(self) -> float:
@@ -55,6 +63,10 @@
         """Return the set wall-clock time in seconds."""
         return self._wall_s
 
+    def boottime(self) -> float:
+        """Return the set monotonic time plus all time spent suspended."""
+        return self._monotonic_s + self._suspended_s
+
     async def sleep(self, seconds: float) -> None:
         """Wait until the clock was advanced by ``seconds``."""
         event = asyncio.Event()
@@ -70,6 +82,11 @@
         for _, event in due:
             event.set()
 
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that only the boot-time and wall clocks count."""
+        self._suspended_s += seconds
+        self._wall_s += seconds
+
     def step_wall(self, seconds: float) -> None:
         """Step the wall clock alone, as an operator or a time service would."""
         self._wall_s += seconds
--- a/src/tanagerkeel/entry/__init__.py
+++ b/src/tanagerkeel/entry/__init__.py
@@ -6,7 +6,6 @@
     Limits,
     SigningKey,
     load_settings,
-    split_address,
 )
 
 __all__ = [
@@ -15,5 +14,4 @@
     "Limits",
     "SigningKey",
     "load_settings",
-    "split_address",
 ]
--- a/src/tanagerkeel/entry/_node.py
+++ b/src/tanagerkeel/entry/_node.py
@@ -7,6 +7,7 @@
 import aiohttp
 import attrs
 
+from tanagerkeel.addresses import split_address
 from tanagerkeel.clock import Clock, SystemClock
 from tanagerkeel.configuration import Catalog, ConfigurationHolder
 from tanagerkeel.entry._claims_task import Claims
@@ -24,7 +25,7 @@
 from tanagerkeel.entry._permits_task import Permits
 from tanagerkeel.entry._reaper_task import ReaperTask
 from tanagerkeel.entry._service_runner import ServiceRunner
-from tanagerkeel.entry._settings import EntrySettings, split_address
+from tanagerkeel.entry._settings import EntrySettings
 from tanagerkeel.entry._tracing import LogSpanExporter, Tracing
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.events import LogEvent, log
--- a/src/tanagerkeel/entry/_settings.py
+++ b/src/tanagerkeel/entry/_settings.py
@@ -1,29 +1,14 @@
 """The settings of an entry node."""
 
-import ipaddress
 import pathlib
 
 import attrs
 
 from tanagerkeel import codec
+from tanagerkeel.addresses import split_address
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 
-__all__ = ["EntrySettings", "Limits", "SigningKey", "load_settings", "split_address"]
-
-MAX_PORT = 65_535
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """
-    Return the IP number and port of ``IP:PORT``.
-
-    :raises ValueError: when it isn't one.
-    """
-    host, _, port = address.rpartition(":")
-    ipaddress.ip_address(host)
-    if not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(f"{address!r} has no valid port")
-    return host, int(port)
+__all__ = ["EntrySettings", "Limits", "SigningKey", "load_settings"]
 
 
 def _address(instance: object, attribute: attrs.Attribute, value: str) -> None:
--- a/src/tanagerkeel/errors.py
+++ b/src/tanagerkeel/errors.py
@@ -62,6 +62,7 @@
     RETRIES_EXHAUSTED = (3004, 503, "The retry budget is spent")
     QUARANTINED = (3005, 422, "This request brought down backend servers")
     FORWARD_FAILED = (3006, 502, "The node that was forwarded to failed")
+    HELD_BACK = (3007, 503, "Held back: backend servers died of this request")
 
     IDEMPOTENCY_KEY_REQUIRED = (4001, 400, "Idempotency-Key is missing")
     IDEMPOTENCY_KEY_INVALID = (4002, 400, "Idempotency-Key is not valid")
--- a/src/tanagerkeel/gateways/peers/__init__.py
+++ b/src/tanagerkeel/gateways/peers/__init__.py
@@ -1,6 +1,12 @@
 """Other nodes of the system: the interface and pynng behind it."""
 
-from tanagerkeel.gateways.peers._frame import FrameRejected, KeyRing
+from tanagerkeel.gateways.peers._frame import (
+    Frame,
+    FrameRejected,
+    KeyRing,
+    open_frame,
+    seal_frame,
+)
 from tanagerkeel.gateways.peers._nng import NngPeerBus, PeerCounters
 from tanagerkeel.gateways.peers._protocol import (
     PeerBus,
@@ -14,6 +20,7 @@
 from tanagerkeel.gateways.peers._replay import ReplayWindows
 
 __all__ = [
+    "Frame",
     "FrameRejected",
     "KeyRing",
     "NngPeerBus",
@@ -25,5 +32,7 @@
     "UnknownKind",
     "kind_of",
     "message_class",
+    "open_frame",
     "peer_message",
+    "seal_frame",
 ]
--- /dev/null
+++ b/src/tanagerkeel/relay/__init__.py
@@ -0,0 +1,70 @@
+"""Decisions about opaque requests: routes, backend servers, placement, retries."""
+
+from tanagerkeel.relay._backends import (
+    BackendServer,
+    BackendTable,
+    Belief,
+    Mishap,
+    ServerState,
+)
+from tanagerkeel.relay._cold_shares import ColdShares
+from tanagerkeel.relay._configuration import (
+    CallerLimits,
+    ClientAccount,
+    EngineProfile,
+    RelayConfiguration,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    WeightedService,
+)
+from tanagerkeel.relay._events import EventSplitter, StreamEvent
+from tanagerkeel.relay._ledger import Ledger, Work
+from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
+from tanagerkeel.relay._pass_model import Writing, pass_ms, read_ms, step_ms, write_ms
+from tanagerkeel.relay._placement import (
+    Candidate,
+    Demand,
+    Estimate,
+    Placement,
+    choose,
+    estimate,
+)
+from tanagerkeel.relay._retry_shares import RetryShare
+
+__all__ = [
+    "BackendServer",
+    "BackendTable",
+    "Belief",
+    "CallerLimits",
+    "CallerRequest",
+    "Candidate",
+    "ClientAccount",
+    "ColdShares",
+    "Demand",
+    "EngineProfile",
+    "Estimate",
+    "EventSplitter",
+    "Headers",
+    "Ledger",
+    "Mishap",
+    "ModelDemand",
+    "Placement",
+    "RelayConfiguration",
+    "ReplyHead",
+    "RetryShare",
+    "Route",
+    "RouteKind",
+    "ServerState",
+    "ServiceSpec",
+    "StreamEvent",
+    "WeightedService",
+    "Work",
+    "Writing",
+    "choose",
+    "estimate",
+    "pass_ms",
+    "read_ms",
+    "step_ms",
+    "write_ms",
+]
--- /dev/null
+++ b/src/tanagerkeel/relay/_configuration.py
@@ -0,0 +1,242 @@
+"""Routes, services and client accounts of a node that relays opaque requests."""
+
+import enum
+
+import attrs
+import xxhash
+
+__all__ = [
+    "CallerLimits",
+    "ClientAccount",
+    "EngineProfile",
+    "RelayConfiguration",
+    "Route",
+    "RouteKind",
+    "ServiceSpec",
+    "WeightedService",
+]
+
+
+class RouteKind(enum.StrEnum):
+    """What may be repeated of a route's requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class WeightedService:
+    """
+    A service that takes a share of a route's requests.
+
+    :param name: name of the service.
+    :param weight: its share relative to the other services of the route.
+    """
+
+    name: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Route:
+    """
+    Where requests of one host and path prefix go.
+
+    :param name: unique name.
+    :param host: host name that callers send.
+    :param prefix: beginning of the path, with a slash at both ends.
+    :param kind: what may be repeated.
+    :param services: the services that share the requests.
+    :param timeout_ms: longest time to the final answer, in milliseconds.
+    :param objective_ms: time to the answer, or the first event, in milliseconds.
+    :param gap_objective_ms: longest pause between events, in milliseconds; 0 when
+        there is none.
+    :param priority: rank; 0 is the highest.
+    :param max_attempts: most backend servers that one request may be sent to.
+    :param public: whether no key is needed.
+    :param resumable: whether a stream may go on at another backend server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_ms: int
+    objective_ms: int
+    gap_objective_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        match self.kind:
+            case RouteKind.SAFE:
+                return True
+            case RouteKind.STREAM:
+                return self.resumable
+            case RouteKind.UNSAFE:
+                return False
+
+    def service_for(self, key: str) -> str:
+        """
+        Return the service that takes the request with id ``key``.
+
+        The same key always gets the same service while the weights stay.
+        """
+        total = sum(service.weight for service in self.services)
+        point = xxhash.xxh32_intdigest(key.encode()) / 2**32 * total
+        for service in self.services:
+            point -= service.weight
+            if point < 0:
+                return service.name
+        return self.services[-1].name
+
+
+@attrs.frozen
+class EngineProfile:
+    """
+    How a model engine works through its batch; times are in milliseconds.
+
+    :param slots: requests that run at once.
+    :param memory_tokens: tokens that its memory holds.
+    :param stride: steps in a pass that includes requests that write.
+    :param step_ms: time of a step.
+    :param per_sequence_ms: added to a step for each request that writes.
+    :param context_per_k_ms: added to a step for each 1,000 tokens of context.
+    :param read_tokens_per_ms: prompt tokens that are read in a millisecond.
+    :param pairs_per_million_ms: added for each million pairs of tokens.
+    :param chunk_tokens: most prompt tokens that are read in a step.
+    :param hop_ms: added to a step when a prompt lies on several engines.
+    :param usual_prompt_tokens: mean length of a prompt.
+    :param usual_answer_tokens: mean length of an answer.
+    """
+
+    slots: int
+    memory_tokens: int
+    stride: int = 1
+    step_ms: float = 1.0
+    per_sequence_ms: float = 0.0
+    context_per_k_ms: float = 0.0
+    read_tokens_per_ms: float = 100.0
+    pairs_per_million_ms: float = 0.0
+    chunk_tokens: int = 2_048
+    hop_ms: float = 0.0
+    usual_prompt_tokens: int = 0
+    usual_answer_tokens: int = 0
+
+
+@attrs.frozen
+class ServiceSpec:
+    """
+    A service that backend servers carry.
+
+    :param name: unique name.
+    :param health_path: path of the health check.
+    :param max_connections: most connections to one backend server, of all nodes.
+    :param cold_s: how long a backend server is cold after its start, in seconds.
+    :param cold_per_s: requests a second that a cold one bears, from all nodes; 0
+        when there is no bound.
+    :param engine: how its engines work; None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: EngineProfile | None = None
+
+
+@attrs.frozen
+class ClientAccount:
+    """
+    A client account and its keys.
+
+    :param name: unique name, as backend servers see it.
+    :param keys: its keys in force.
+    :param priority: rank that goes before the route's; None when it has none.
+    """
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(repr=False)
+    priority: int | None = None
+
+
+@attrs.frozen
+class CallerLimits:
+    """
+    Bounds on what callers may send.
+
+    :param max_header_bytes: largest header block, in bytes.
+    :param max_body_bytes: largest body, in bytes.
+    :param header_timeout_ms: longest time to the end of headers, in milliseconds.
+    :param idle_timeout_ms: how long an idle connection stays open, in milliseconds.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 20_000
+    idle_timeout_ms: int = 30_000
+
+
+@attrs.frozen
+class RelayConfiguration:
+    """
+    One version of the operators' configuration, ready for lookups.
+
+    :param version: grows with each version, in uneven steps.
+    :param routes: all routes.
+    :param services: all services.
+    :param accounts: client accounts; None when no request needs a key.
+    :param limits: bounds on what callers may send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[ServiceSpec, ...]
+    accounts: tuple[ClientAccount, ...] | None = None
+    limits: CallerLimits = CallerLimits()
+    _by_host: dict[str, tuple[Route, ...]] = attrs.field(init=False, repr=False)
+    _by_name: dict[str, ServiceSpec] = attrs.field(init=False, repr=False)
+    _by_key: dict[str, ClientAccount] = attrs.field(init=False, repr=False)
+
+    @_by_host.default
+    def _index_hosts(self) -> dict[str, tuple[Route, ...]]:
+        by_host: dict[str, list[Route]] = {}
+        longest_first = sorted(self.routes, key=lambda r: len(r.prefix), reverse=True)
+        for route in longest_first:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        return {host: tuple(routes) for host, routes in by_host.items()}
+
+    @_by_name.default
+    def _index_services(self) -> dict[str, ServiceSpec]:
+        return {service.name: service for service in self.services}
+
+    @_by_key.default
+    def _index_keys(self) -> dict[str, ClientAccount]:
+        accounts = self.accounts or ()
+        return {key: account for account in accounts for key in account.keys}
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """
+        Return the route with the longest prefix that begins ``path``.
+
+        :param host: the host that the caller sent, with or without a port.
+        :param path: the path as the caller sent it.
+        """
+        name = host.partition(":")[0].lower()
+        candidates = self._by_host.get(name, ())
+        return next((r for r in candidates if path.startswith(r.prefix)), None)
+
+    def account_for(self, key: str) -> ClientAccount | None:
+        """Return the client account that holds ``key``."""
+        return self._by_key.get(key)
+
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return a service by its name."""
+        return self._by_name.get(name)
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/__init__.py
@@ -0,0 +1,43 @@
+"""Nodes that relay opaque requests: settings, tasks, and the way of a request."""
+
+from tanagerkeel.relay_entry._facts import (
+    BackendFact,
+    BackendGoneFact,
+    ConfigurationFact,
+    DomainInFact,
+    DomainOutFact,
+    Fact,
+    StoreDecoder,
+    UnreadableEntry,
+)
+from tanagerkeel.relay_entry._node import RelayNode
+from tanagerkeel.relay_entry._protocols import (
+    BackendCodec,
+    CallerCodec,
+    Helper,
+    SendOptions,
+)
+from tanagerkeel.relay_entry._settings import (
+    RelayBounds,
+    RelaySettings,
+    load_relay_settings,
+)
+
+__all__ = [
+    "BackendCodec",
+    "BackendFact",
+    "BackendGoneFact",
+    "CallerCodec",
+    "ConfigurationFact",
+    "DomainInFact",
+    "DomainOutFact",
+    "Fact",
+    "Helper",
+    "RelayBounds",
+    "RelayNode",
+    "RelaySettings",
+    "SendOptions",
+    "StoreDecoder",
+    "UnreadableEntry",
+    "load_relay_settings",
+]
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_ingress.py
@@ -0,0 +1,114 @@
+"""The callers' side: an ASGI application around the relay."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import attrs
+
+from tanagerkeel.clock import Clock
+from tanagerkeel.errors import ResultCode, TanagerkeelError
+from tanagerkeel.events import LogEvent, log
+from tanagerkeel.gateways.http_server import ABORT_EXTENSION
+from tanagerkeel.relay import CallerLimits, Headers
+from tanagerkeel.relay_entry._admit import Refusal
+from tanagerkeel.relay_entry._protocols import CallerCodec
+from tanagerkeel.relay_entry._refusals import send_refusal
+from tanagerkeel.relay_entry._runner import RelayRunner
+from tanagerkeel.relay_entry._state import RelayState
+
+__all__ = ["RelayIngress"]
+
+Event = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Event]]
+Send = Callable[[Event], Awaitable[None]]
+CLOSE = (b"connection", b"close")
+
+
+@attrs.define
+class _AsgiReply:
+    _scope: Event
+    _send: Send
+    _closing: Callable[[], bool]
+    _started: bool = False
+
+    @property
+    def started(self) -> bool:
+        return self._started
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self._started = True
+        sent = [*headers, CLOSE] if self._closing() else list(headers)
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": sent}
+        )
+
+    async def write(self, data: bytes) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def finish(self) -> None:
+        await self._send({"type": "http.response.body", "body": b""})
+
+    def break_off(self) -> None:
+        self._scope["extensions"][ABORT_EXTENSION]()
+
+
+@attrs.frozen
+class RelayIngress:
+    """
+    Takes requests from the HTTP server and hands them to the relay.
+
+    :param codec: reads the callers' headers.
+    :param runner: the relay.
+    :param state: the node's beliefs.
+    :param clock: source of time.
+    """
+
+    _codec: CallerCodec
+    _runner: RelayRunner
+    _state: RelayState
+    _clock: Clock
+
+    async def __call__(self, scope: Event, receive: Receive, send: Send) -> None:
+        """Serve one request of ASGI."""
+        if scope["type"] != "http":
+            return
+        reply = _AsgiReply(scope, send, lambda: self._state.stopping)
+        request_id = ""
+        try:
+            request = self._codec.decode(scope, self._clock.monotonic())
+            request_id = request.request_id
+            body = await self._read(receive)
+        except TanagerkeelError as error:
+            refusal = Refusal(error.result, error.detail)
+            log(
+                LogEvent.RELAY_REFUSED,
+                request=request_id,
+                code=refusal.code.code,
+                reason=refusal.reason,
+            )
+            await send_refusal(reply, refusal, request_id)
+            return
+        if body is None:
+            # The caller left before the request was whole.
+            return
+        await self._runner.serve(request, body, reply)
+
+    async def _read(self, receive: Receive) -> bytes | None:
+        configuration = self._state.configuration
+        limits = configuration.limits if configuration else CallerLimits()
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                return None
+            pieces.append(event.get("body", b""))
+            size += len(pieces[-1])
+            if size > limits.max_body_bytes:
+                raise TanagerkeelError(
+                    ResultCode.BODY_TOO_LARGE, f"over {limits.max_body_bytes} bytes"
+                )
+            if not event.get("more_body"):
+                return b"".join(pieces)
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -0,0 +1,70 @@
+"""Counters and histograms of a relaying node, in the Prometheus format."""
+
+import attrs
+import prometheus_client
+
+__all__ = ["RelayMetrics"]
+
+FIRST_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0)
+WHOLE_BUCKETS_S = (0.1, 0.3, 1.0, 2.0, 4.0, 8.0, 15.0)
+WAIT_BUCKETS_S = (0.001, 0.01, 0.05, 0.1, 0.3, 1.0, 3.0)
+
+
+def _histogram(
+    name: str, text: str, buckets: tuple[float, ...], registry: object
+) -> prometheus_client.Histogram:
+    return prometheus_client.Histogram(
+        f"tanagerkeel_relay_{name}",
+        text,
+        ("route",),
+        buckets=buckets,
+        registry=registry,
+    )
+
+
+def _counter(
+    name: str, text: str, labels: tuple[str, ...], registry: object
+) -> prometheus_client.Counter:
+    return prometheus_client.Counter(
+        f"tanagerkeel_relay_{name}", text, labels, registry=registry
+    )
+
+
+@attrs.define
+class RelayMetrics:
+    """Counters and histograms of one node; times are in seconds."""
+
+    _registry: prometheus_client.CollectorRegistry = attrs.field(
+        factory=prometheus_client.CollectorRegistry
+    )
+    first: prometheus_client.Histogram = attrs.field(init=False)
+    whole: prometheus_client.Histogram = attrs.field(init=False)
+    wait: prometheus_client.Histogram = attrs.field(init=False)
+    results: prometheus_client.Counter = attrs.field(init=False)
+    mishaps: prometheus_client.Counter = attrs.field(init=False)
+    repeats: prometheus_client.Counter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        registry = self._registry
+        self.first = _histogram(
+            "first_seconds",
+            "Time to the first event or answer",
+            FIRST_BUCKETS_S,
+            registry,
+        )
+        self.whole = _histogram(
+            "whole_seconds", "Time to the end of the answer", WHOLE_BUCKETS_S, registry
+        )
+        self.wait = _histogram(
+            "wait_seconds",
+            "Time until a backend server was chosen",
+            WAIT_BUCKETS_S,
+            registry,
+        )
+        self.results = _counter("results", "Ended requests", ("result",), registry)
+        self.mishaps = _counter("mishaps", "Failed sends", ("mishap",), registry)
+        self.repeats = _counter("repeats", "Sends beyond the first", (), registry)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_operators.py
@@ -0,0 +1,54 @@
+"""What the balancer and operators ask a relaying node."""
+
+import attrs
+import falcon
+import falcon.asgi
+import prometheus_client
+
+from tanagerkeel.relay_entry._metrics import RelayMetrics
+from tanagerkeel.relay_entry._state import RelayState
+
+__all__ = ["metrics_app", "readiness_app"]
+
+
+@attrs.frozen
+class _Readiness:
+    _state: RelayState
+
+    async def on_get(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        ready = self._state.ready
+        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
+        response.content_type = falcon.MEDIA_TEXT
+        response.text = "ready" if ready else "not ready"
+
+
+@attrs.frozen
+class _Metrics:
+    _metrics: RelayMetrics
+
+    async def on_get(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        response.content_type = prometheus_client.CONTENT_TYPE_LATEST
+        response.data = self._metrics.exposition()
+
+
+def readiness_app(state: RelayState, path: str) -> falcon.asgi.App:
+    """
+    Return the application that the balancer asks.
+
+    :param state: the node's beliefs.
+    :param path: the path that it asks.
+    """
+    app = falcon.asgi.App()
+    app.add_route(path, _Readiness(state))
+    return app
+
+
+def metrics_app(metrics: RelayMetrics) -> falcon.asgi.App:
+    """Return the application that serves counters and histograms."""
+    app = falcon.asgi.App()
+    app.add_route("/metrics", _Metrics(metrics))
+    return app
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -0,0 +1,61 @@
+"""How one send to a backend server ended."""
+
+import attrs
+
+from tanagerkeel.relay import Mishap, ReplyHead
+
+__all__ = ["Answered", "Delivered", "Lost", "NotRun", "NotSent", "Outcome"]
+
+
+@attrs.frozen
+class Delivered:
+    """
+    The caller has the whole answer.
+
+    :param status: its HTTP status.
+    """
+
+    status: int
+
+
+@attrs.frozen
+class NotSent:
+    """Nothing has left this node."""
+
+    reason: str
+
+
+@attrs.frozen
+class NotRun:
+    """The backend server says that it did not run the request and never will."""
+
+    reason: str
+
+
+@attrs.frozen
+class Answered:
+    """
+    The backend server's own failure, complete and not yet passed on.
+
+    :param head: its status and headers.
+    :param body: its whole body.
+    """
+
+    head: ReplyHead
+    body: bytes = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Lost:
+    """
+    The request may have run, and the rest of its answer is lost.
+
+    :param mishap: what happened.
+    :param reason: the same in words.
+    """
+
+    mishap: Mishap
+    reason: str
+
+
+Outcome = Delivered | NotSent | NotRun | Answered | Lost
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_refusals.py
@@ -0,0 +1,33 @@
+"""Answers of the node's own, as problem documents."""
+
+from tanagerkeel import codec
+from tanagerkeel.errors import Ran, TanagerkeelError
+from tanagerkeel.gateways.callers import PROBLEM_TYPE, problem_of
+from tanagerkeel.relay_entry._admit import Refusal
+from tanagerkeel.relay_entry._protocols import CallerReply
+
+__all__ = ["send_refusal"]
+
+
+async def send_refusal(
+    reply: CallerReply, refusal: Refusal, request_id: str, ran: Ran = Ran.NO
+) -> None:
+    """
+    Answer a request in the node's own name.
+
+    :param reply: where the answer goes.
+    :param refusal: what it says; its reason stays in the log.
+    :param request_id: the caller's id of the request.
+    :param ran: whether a backend server may have run it.
+    """
+    error = TanagerkeelError(refusal.code, "", ran)
+    body = codec.encode(problem_of(error, request_id))
+    headers = [
+        (b"content-type", PROBLEM_TYPE.encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    if refusal.retry_after_s is not None:
+        headers.append((b"retry-after", f"{refusal.retry_after_s:.3f}".encode()))
+    await reply.start(refusal.code.status, tuple(headers))
+    await reply.write(body)
+    await reply.finish()
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -0,0 +1,121 @@
+"""One caller's request on its way: what was decided and sent so far."""
+
+import attrs
+import xxhash
+
+from tanagerkeel.errors import ResultCode
+from tanagerkeel.relay import CallerRequest, Demand, RouteKind
+from tanagerkeel.relay_entry._admit import Admitted
+from tanagerkeel.relay_entry._protocols import CallerReply
+
+__all__ = ["RelayRun"]
+
+# Callers give up on a stream after the longest of these (pages of the platform): so
+# many seconds, objectives, or longest pauses without an event.
+PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4
+PATIENCE_GAPS = 8
+# Share of the caller's patience that one backend server gets; the rest is for another.
+PATIENCE_SHARE = 0.5
+
+
+@attrs.define(eq=False)
+class RelayRun:
+    """
+    A request that was let in; times are monotonic, in seconds.
+
+    :param request: the caller's request.
+    :param body: its whole body.
+    :param reply: the answer to the caller.
+    :param terms: on which terms it was let in.
+    :param deadline_s: when the final answer is due.
+    :param tried: backend servers that it was sent to.
+    :param sends: how many backend servers may have begun it or refused it.
+    :param unsure: whether a send may have run.
+    :param last_event_id: id of the last event that the caller has.
+    :param events: events passed on.
+    :param first_s: when the first event or the answer was passed on.
+    :param placed_s: when a backend server was first chosen.
+    """
+
+    request: CallerRequest
+    body: bytes = attrs.field(repr=False)
+    reply: CallerReply
+    terms: Admitted
+    deadline_s: float
+    tried: set[str] = attrs.field(factory=set)
+    sends: int = 0
+    unsure: bool = False
+    last_event_id: str | None = None
+    events: int = 0
+    first_s: float | None = None
+    placed_s: float | None = None
+    fingerprint: str = attrs.field()
+
+    @fingerprint.default
+    def _hash(self) -> str:
+        digest = xxhash.xxh64()
+        account = self.terms.account.name if self.terms.account else ""
+        for part in (account.encode(), self.request.target, self.body):
+            digest.update(part)
+            digest.update(b"\0")
+        return digest.hexdigest()
+
+    @property
+    def streams(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.terms.route.kind is RouteKind.STREAM
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again although it may have run."""
+        return self.terms.route.repeatable
+
+    @property
+    def sends_left(self) -> int:
+        """How many further backend servers it may be sent to."""
+        return self.terms.route.max_attempts - self.sends
+
+    @property
+    def objective_s(self) -> float:
+        """When the first event or the answer is due to be in time."""
+        return self.request.arrived_s + self.terms.route.objective_ms / 1_000
+
+    @property
+    def patience_s(self) -> float:
+        """How long to wait for a backend server's next event, in seconds."""
+        route = self.terms.route
+        if not self.streams:
+            return PATIENCE_SHARE * route.timeout_ms / 1_000
+        objective_s = PATIENCE_OBJECTIVES * route.objective_ms / 1_000
+        gap_s = PATIENCE_GAPS * route.gap_objective_ms / 1_000
+        return PATIENCE_SHARE * max(PATIENCE_S, objective_s, gap_s)
+
+    def demand(self, now: float, usual_ms: float) -> Demand:
+        """
+        Return what is to be placed.
+
+        :param now: monotonic time, in seconds.
+        :param usual_ms: how long a call of a plain service usually takes.
+        """
+        asked = self.request.demand
+        engine = self.terms.service.engine
+        tokens = 0
+        answer = 0
+        if asked is not None and engine is not None:
+            tokens = asked.prompt_tokens
+            answer = min(asked.answer_tokens, engine.memory_tokens)
+        due_s = self.objective_s
+        return Demand(
+            prompt_tokens=tokens,
+            answer_tokens=answer,
+            objective_ms=max(0.0, 1_000 * (due_s - now)),
+            gap_objective_ms=float(self.terms.route.gap_objective_ms),
+            usual_ms=usual_ms,
+        )
+
+    def timeout_code(self) -> ResultCode:
+        """Return what is answered when its time is over."""
+        if self.unsure:
+            return ResultCode.DEADLINE_EXCEEDED
+        return ResultCode.DEADLINE_INFEASIBLE
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -0,0 +1,95 @@
+"""The settings of a node that relays opaque requests."""
+
+import pathlib
+
+import attrs
+
+from tanagerkeel import codec
+from tanagerkeel.addresses import split_address
+from tanagerkeel.errors import ResultCode, TanagerkeelError
+
+__all__ = ["RelayBounds", "RelaySettings", "load_relay_settings"]
+
+
+def _address(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    try:
+        split_address(value)
+    except ValueError as error:
+        raise ValueError(f"{attribute.name}: {error}") from error
+
+
+def _positive(default: float) -> float:
+    return attrs.field(default=default, validator=attrs.validators.gt(0))
+
+
+@attrs.frozen
+class RelayBounds:
+    """
+    Bounds that the deployment sets; the defaults are those of the smaller ones.
+
+    :param revoke_ms: latest use of a key after it was taken away, in milliseconds.
+    :param strict_revoke: whether that holds for a node that is cut off, too.
+    :param grace_s: time from a request to stop until the process is killed, in seconds.
+    :param drain_ms: latest send to a backend server that leaves, in milliseconds.
+    :param retry_ratio: sends beyond the first for each request, over all nodes.
+    :param retry_extra: sends beyond those in each window, over all nodes.
+    :param retry_window_s: length of that window, in seconds.
+    :param longest_hold_ms: longest reservation of engine memory, in milliseconds.
+    """
+
+    revoke_ms: int = _positive(5_000)
+    strict_revoke: bool = True
+    grace_s: float = _positive(8.0)
+    drain_ms: int = _positive(2_000)
+    retry_ratio: float = _positive(0.2)
+    retry_extra: float = _positive(100.0)
+    retry_window_s: float = _positive(10.0)
+    longest_hold_ms: int = _positive(20_000)
+
+
+@attrs.frozen
+class RelaySettings:
+    """
+    Settings of one node; every address is ``IP:PORT`` with an IP number.
+
+    :param node_id: unique name of the node.
+    :param failure_domain: its failure domain.
+    :param callers_listen: where callers connect.
+    :param readiness_listen: where the balancer asks whether the node is ready.
+    :param metrics_listen: where counters and histograms are served.
+    :param news_listen: where peers send datagrams.
+    :param platform: the platform's store.
+    :param bounds: bounds that the deployment sets.
+    :param log_lines_per_s: most log lines a second, in the mean of a few seconds.
+    :param drain_delay_s: how long a stopping node goes on taking callers after it
+        has told that it isn't ready, in seconds; the balancer asks each second and
+        takes a node out after two misses.
+    """
+
+    node_id: str = attrs.field(validator=attrs.validators.min_len(1))
+    failure_domain: str = attrs.field(validator=attrs.validators.min_len(1))
+    callers_listen: str = attrs.field(validator=_address)
+    readiness_listen: str = attrs.field(validator=_address)
+    metrics_listen: str = attrs.field(validator=_address)
+    news_listen: str = attrs.field(validator=_address)
+    platform: str = attrs.field(validator=_address)
+    bounds: RelayBounds = RelayBounds()
+    log_lines_per_s: int = _positive(200)
+    drain_delay_s: float = attrs.field(default=2.6, validator=attrs.validators.ge(0))
+
+
+def load_relay_settings(path: pathlib.Path) -> RelaySettings:
+    """
+    Return the settings in a JSON file.
+
+    :raises TanagerkeelError: SETTINGS_UNREADABLE or SETTINGS_INVALID, naming every
+        fault by its path.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise TanagerkeelError(ResultCode.SETTINGS_UNREADABLE, str(error)) from error
+    try:
+        return codec.decode(data, RelaySettings, lenient=True)
+    except codec.InvalidValue as error:
+        raise TanagerkeelError(ResultCode.SETTINGS_INVALID, str(error)) from error
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -0,0 +1,232 @@
+"""What one node believes: configuration, backend servers, peers, running work."""
+
+import asyncio
+
+import attrs
+
+from tanagerkeel.clock import Clock
+from tanagerkeel.events import LogEvent, log
+from tanagerkeel.relay import (
+    BackendServer,
+    BackendTable,
+    ColdShares,
+    Ledger,
+    Mishap,
+    RelayConfiguration,
+    RetryShare,
+)
+from tanagerkeel.relay_entry._facts import (
+    BackendFact,
+    BackendGoneFact,
+    ConfigurationFact,
+    DomainInFact,
+    DomainOutFact,
+    Fact,
+)
+from tanagerkeel.relay_entry._peers import PeerTable
+from tanagerkeel.relay_entry._settings import RelaySettings
+from tanagerkeel.requests import Quarantine
+
+__all__ = ["RelayState"]
+
+# A configuration counts as unconfirmed so long before the bound on revoked keys, in
+# seconds: what was admitted before must have reached its backend server by then.
+CONFIRM_MARGIN_S = 0.8
+# Weight of the newest answer in the usual time of a plain service.
+USUAL_WEIGHT = 0.1
+# Until a plain service has answered, in milliseconds.
+USUAL_MS = 50.0
+
+
+@attrs.define
+class RelayState:
+    """
+    All that a node's decisions rest on.
+
+    :param settings: the node's settings.
+    :param clock: source of time.
+    :param configuration: the configuration in force; None before the first.
+    :param confirmed_s: boot time at which the platform last confirmed it.
+    :param backends: the backend servers.
+    :param peers: the other nodes.
+    :param ledger: what runs where.
+    :param quarantine: requests that bring down backend servers.
+    :param stopping: whether the node is about to stop.
+    """
+
+    settings: RelaySettings
+    clock: Clock
+    configuration: RelayConfiguration | None = None
+    confirmed_s: float = float("-inf")
+    backends: BackendTable = attrs.field(factory=BackendTable)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
+    stopping: bool = False
+    peers: PeerTable = attrs.field()
+    cold_shares: ColdShares = attrs.field()
+    _retry_shares: dict[str, RetryShare] = attrs.field(factory=dict)
+    _usual_ms: dict[str, float] = attrs.field(factory=dict)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @peers.default
+    def _no_peers(self) -> PeerTable:
+        return PeerTable(self.settings.node_id)
+
+    @cold_shares.default
+    def _no_shares(self) -> ColdShares:
+        return ColdShares(self.settings.node_id)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return not self.stopping and self.configuration is not None and self.confirmed
+
+    @property
+    def confirmed_age_s(self) -> float:
+        """Age of the platform's last word on the configuration, in seconds."""
+        return self.clock.boottime() - self.confirmed_s
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the keys in force are known well enough to let requests in."""
+        bounds = self.settings.bounds
+        if not bounds.strict_revoke:
+            return True
+        return self.confirmed_age_s < bounds.revoke_ms / 1_000 - CONFIRM_MARGIN_S
+
+    def changed(self) -> None:
+        """Wake whoever waits for a change of what runs or could run."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_changed(self, longest_s: float) -> None:
+        """Wait for a change, at most so many seconds."""
+        event = self._changed
+        try:
+            async with asyncio.timeout(longest_s):
+                await event.wait()
+        except TimeoutError:
+            # Time has passed, which changes the estimates.
+            return
+
+    def retry_share(self, service: str) -> RetryShare:
+        """Return this node's share of a service's retries."""
+        share = self._retry_shares.get(service)
+        if share is None:
+            bounds = self.settings.bounds
+            share = RetryShare(
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+            )
+            self._retry_shares[service] = share
+        return share
+
+    def usual_ms(self, service: str) -> float:
+        """Return how long a call of a plain service usually takes."""
+        return self._usual_ms.get(service, USUAL_MS)
+
+    def measured(self, service: str, took_ms: float) -> None:
+        """Take in how long a call of a plain service took."""
+        usual = self.usual_ms(service)
+        self._usual_ms[service] = usual + USUAL_WEIGHT * (took_ms - usual)
+
+    def learn(self, fact: Fact, revision: int) -> None:
+        """
+        Take in what the platform's store tells.
+
+        :param fact: the decoded entry.
+        :param revision: the store's revision of it.
+        """
+        match fact:
+            case ConfigurationFact():
+                self._adopt(fact.configuration, revision)
+            case BackendFact():
+                self._put_backend(fact.server, revision)
+            case BackendGoneFact():
+                if self.backends.remove(fact.backend_id, self.clock.monotonic()):
+                    self._backend_gone(fact.backend_id, "its entry is gone")
+            case DomainOutFact():
+                if fact.failure_domain not in self.backends.domains_out:
+                    log(LogEvent.DOMAIN_TAKEN_OUT, domain=fact.failure_domain)
+                self.backends.take_domain_out(fact.failure_domain)
+            case DomainInFact():
+                self._take_domain_in(fact.failure_domain)
+        self.changed()
+
+    def keep_only(self, backend_ids: set[str], domains_out: set[str]) -> None:
+        """Take in which backend servers and closed failure domains there are in all."""
+        now = self.clock.monotonic()
+        for name in self.backends.keep_only(backend_ids, now):
+            self._backend_gone(name, "it is missing in the listing")
+        for domain in self.backends.domains_out - domains_out:
+            self._take_domain_in(domain)
+        self.changed()
+
+    def expire(self) -> None:
+        """Drop backend servers whose entries stayed away after an outage."""
+        for name in self.backends.expire(self.clock.monotonic()):
+            self._backend_gone(name, "its entry did not come back")
+
+    def failed(self, server: BackendServer, mishap: Mishap, request_id: str) -> None:
+        """Take in that a send to a backend server failed."""
+        now = self.clock.monotonic()
+        self.backends.failed(server, mishap, now)
+        belief = self.backends.get(server.backend_id)
+        if belief is not None and belief.shunned_until_s > now:
+            log(
+                LogEvent.BACKEND_SHUNNED,
+                request=request_id,
+                backend=server.backend_id,
+                reason=mishap.value,
+                failures=belief.failures,
+                for_s=round(belief.shunned_until_s - now, 2),
+            )
+
+    def _adopt(self, new: RelayConfiguration, revision: int) -> None:
+        old = self.configuration
+        if old is not None and new.version <= old.version:
+            if new.version < old.version:
+                log(
+                    LogEvent.CONFIGURATION_OLDER_IGNORED,
+                    version=new.version,
+                    in_force=old.version,
+                )
+            return
+        self.configuration = new
+        log(
+            LogEvent.CONFIGURATION_ADOPTED,
+            version=new.version,
+            before=old.version if old else None,
+            revision=revision,
+            routes=len(new.routes),
+        )
+
+    def _put_backend(self, server: BackendServer, revision: int) -> None:
+        known = self.backends.get(server.backend_id)
+        if not self.backends.put(server, revision, self.clock.monotonic()):
+            return
+        if known is not None and not known.server.same_life(server):
+            self.quarantine.died(
+                server.backend_id, self.clock.monotonic(), str(known.server.born_ms)
+            )
+        log(
+            LogEvent.BACKEND_LEARNT,
+            backend=server.backend_id,
+            service=server.service,
+            domain=server.failure_domain,
+            state=server.state.value,
+            cold_ms=server.cold_ms,
+            born=server.born_ms,
+            revision=revision,
+        )
+
+    def _backend_gone(self, backend_id: str, reason: str) -> None:
+        log(LogEvent.BACKEND_GONE, backend=backend_id, reason=reason)
+        self.cold_shares.forget(backend_id)
+
+    def _take_domain_in(self, domain: str) -> None:
+        if domain not in self.backends.domains_out:
+            return
+        services = self.configuration.services if self.configuration else ()
+        cold_s = max((s.cold_s for s in services if s.cold_per_s), default=0.0)
+        self.backends.take_domain_in(domain, self.clock.monotonic() + cold_s)
+        log(LogEvent.DOMAIN_TAKEN_IN, domain=domain, cold_s=cold_s)
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -0,0 +1,177 @@
+"""Follows the platform's store: one listing, then one watch over all keys."""
+
+import random
+
+import attrs
+
+from tanagerkeel import codec
+from tanagerkeel.admission import full_jitter_s
+from tanagerkeel.events import LogEvent, log
+from tanagerkeel.gateways.platform import (
+    Entry,
+    HistoryLost,
+    Listing,
+    PlatformUnavailable,
+    WatchedStore,
+)
+from tanagerkeel.relay_entry._facts import (
+    BackendFact,
+    DomainOutFact,
+    StoreDecoder,
+    UnreadableEntry,
+)
+from tanagerkeel.relay_entry._peers import Peer, node_of_key
+from tanagerkeel.relay_entry._state import RelayState
+
+__all__ = ["StoreTask"]
+
+# Everything: the operators' keys, the backend servers' and the nodes' own.
+ALL_KEYS = ""
+# A watch confirms the configuration when it ends, and keys may be used only while
+# that is young: a fifth of the usual bound on revoked keys.
+WATCH_MS = 1_000
+# First and longest bound of the pause after a failed call, in seconds. The platform
+# counts refused calls too; a configuration must be in force two seconds after.
+RETRY_BASE_S = 0.1
+RETRY_LONGEST_S = 0.5
+
+
+@attrs.define
+class StoreTask:
+    """
+    Keeps the node's beliefs in step with the platform's store.
+
+    :param store: calls to the platform.
+    :param decoder: reads the store's entries.
+    :param state: the node's beliefs.
+    :param random: source of randomness.
+    """
+
+    _store: WatchedStore
+    _decoder: StoreDecoder
+    _state: RelayState
+    _random: random.Random
+    _revision: int | None = None
+    _failures: int = 0
+    _reachable: bool = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except PlatformUnavailable as error:
+                self._lost(error)
+                await self._state.clock.sleep(
+                    full_jitter_s(
+                        self._failures, self._random, RETRY_BASE_S, RETRY_LONGEST_S
+                    )
+                )
+
+    async def step(self) -> None:
+        """Make one call and take in its answer."""
+        asked_s = self._state.clock.boottime()
+        try:
+            if self._revision is None:
+                self._take_listing(await self._store.list_all(ALL_KEYS))
+            else:
+                changes = await self._store.changes(ALL_KEYS, self._revision, WATCH_MS)
+                for event in changes.events:
+                    self._take_event(event, changes.revision)
+                self._revision = changes.revision
+        except HistoryLost:
+            log(
+                LogEvent.PLATFORM_UNREACHABLE,
+                reason="the history was dropped, listing again",
+                revision=self._revision,
+            )
+            self._revision = None
+            return
+        self._reached()
+        self._state.confirmed_s = asked_s
+        self._state.expire()
+
+    def _reached(self) -> None:
+        self._state.backends.store_back(self._state.clock.monotonic())
+        if not self._reachable:
+            log(
+                LogEvent.PLATFORM_REACHABLE,
+                revision=self._revision,
+                failures=self._failures,
+            )
+        self._reachable = True
+        self._failures = 0
+
+    def _lost(self, error: PlatformUnavailable) -> None:
+        self._failures += 1
+        self._state.backends.store_lost()
+        if self._reachable:
+            log(
+                LogEvent.PLATFORM_UNREACHABLE,
+                reason=error.reason,
+                revision=self._revision,
+                confirmed_age_s=round(self._state.confirmed_age_s, 3),
+            )
+        self._reachable = False
+
+    def _take_listing(self, listing: Listing) -> None:
+        backends: set[str] = set()
+        domains: set[str] = set()
+        nodes: set[str] = set()
+        for entry in listing.entries:
+            match self._take_entry(entry):
+                case BackendFact() as fact:
+                    backends.add(fact.server.backend_id)
+                case DomainOutFact() as fact:
+                    domains.add(fact.failure_domain)
+                case str() as node_id:
+                    nodes.add(node_id)
+        self._state.keep_only(backends, domains)
+        for gone in set(self._state.peers.names()) - nodes:
+            self._peer_gone(gone)
+        self._revision = listing.revision
+
+    def _take_event(self, event: Entry | str, revision: int) -> None:
+        if isinstance(event, Entry):
+            self._take_entry(event)
+            return
+        node_id = node_of_key(event)
+        if node_id is not None:
+            self._peer_gone(node_id)
+            return
+        fact = self._decoder.deleted(event)
+        if fact is not None:
+            self._state.learn(fact, revision)
+
+    def _take_entry(self, entry: Entry) -> object:
+        node_id = node_of_key(entry.key)
+        try:
+            if node_id is not None:
+                return self._take_peer(codec.decode(entry.value, Peer, lenient=True))
+            fact = self._decoder.written(entry.key, entry.value)
+        except (UnreadableEntry, codec.InvalidValue) as error:
+            log(
+                LogEvent.STORE_ENTRY_REJECTED,
+                key=entry.key,
+                revision=entry.revision,
+                reason=str(error),
+            )
+            return None
+        if fact is not None:
+            self._state.learn(fact, entry.revision)
+        return fact
+
+    def _take_peer(self, peer: Peer) -> str:
+        if self._state.peers.put(peer) and peer.node_id != self._state.settings.node_id:
+            log(
+                LogEvent.PEER_LEARNT,
+                peer=peer.node_id,
+                domain=peer.failure_domain,
+                started_ms=peer.started_ms,
+            )
+        return peer.node_id
+
+    def _peer_gone(self, node_id: str) -> None:
+        if self._state.peers.remove(node_id, self._state.clock.monotonic()):
+            self._state.ledger.forget(node_id)
+            log(LogEvent.PEER_GONE, peer=node_id, reason="its key is gone")
