--- a/src/tanagerkeel/entry/_attempts.py
+++ b/src/tanagerkeel/entry/_attempts.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tanagerkeel.entry._background import Background
+from tanagerkeel.background import Background
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._deaths import DeathWatch
 from tanagerkeel.entry._gang import GangMemory, ReservedSegment
--- a/src/tanagerkeel/entry/_gang.py
+++ b/src/tanagerkeel/entry/_gang.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tanagerkeel.admission import full_jitter_s
-from tanagerkeel.entry._background import Background
+from tanagerkeel.background import Background
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._request_run import RequestRun
 from tanagerkeel.gateways.engines import BackendRefused, GangSegment, Reservation
--- a/src/tanagerkeel/entry/_model_runner.py
+++ b/src/tanagerkeel/entry/_model_runner.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tanagerkeel.entry._background import Background
+from tanagerkeel.background import Background
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._pipeline import RequestPipeline
 from tanagerkeel.entry._request_run import AnswerChannel, Outcome, RequestRun
--- a/src/tanagerkeel/entry/_pipeline.py
+++ b/src/tanagerkeel/entry/_pipeline.py
@@ -6,8 +6,8 @@
 import attrs
 
 from tanagerkeel.admission import AdmissionRequest, RetryBudget, full_jitter_s
+from tanagerkeel.background import Background
 from tanagerkeel.entry._attempts import AttemptFailed, AttemptRunner
-from tanagerkeel.entry._background import Background
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._estimates import (
     AnswerLengths,
--- a/src/tanagerkeel/entry/_placement.py
+++ b/src/tanagerkeel/entry/_placement.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tanagerkeel.admission import full_jitter_s
-from tanagerkeel.entry._background import Background
+from tanagerkeel.background import Background
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._request_run import RequestRun, Stage
 from tanagerkeel.errors import ResultCode
--- a/src/tanagerkeel/gateways/exchange/_pool.py
+++ b/src/tanagerkeel/gateways/exchange/_pool.py
@@ -25,9 +25,11 @@
     No connection came up, so that nothing was sent.
 
     :param reason: why.
+    :param refused: whether nothing listens there, as after a crash.
     """
 
     reason: str
+    refused: bool = False
 
 
 @attrs.define
@@ -112,7 +114,8 @@
         except TimeoutError as error:
             raise NoConnection("no connection in time") from error
         except (OSError, ValueError) as error:
-            raise NoConnection(str(error)) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise NoConnection(str(error), refused) from error
         self._opened += 1
         return connection
 
--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -141,6 +141,11 @@
         """Return what is known of a backend server."""
         return self._beliefs.get(backend_id)
 
+    def at(self, address: str) -> BackendServer | None:
+        """Return the backend server that is registered at an address."""
+        servers = (belief.server for belief in self._beliefs.values())
+        return next((s for s in servers if s.address == address), None)
+
     def __iter__(self) -> Iterator[Belief]:
         return iter(self._beliefs.values())
 
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -10,7 +10,8 @@
 """
 
 import itertools
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 import xxhash
@@ -20,7 +21,15 @@
 from tanagerkeel.relay._ledger import Work
 from tanagerkeel.relay._pass_model import Writing, pass_ms, read_ms, step_ms
 
-__all__ = ["Candidate", "Demand", "Estimate", "Placement", "choose", "estimate"]
+__all__ = [
+    "Candidate",
+    "Demand",
+    "Estimate",
+    "Placement",
+    "choose",
+    "estimate",
+    "readers_for_memory",
+]
 
 # A request counts as one unit of worth and one more for each of so many prompt
 # tokens, as the deployments weigh their kinds of request.
@@ -46,7 +55,11 @@
 # Share of the objective within which the prompt of a request is to be read; beyond
 # it, more engines read parts of it.
 READ_SHARE = 0.55
-MAX_READERS = 4
+# An engine takes up to 16 helpers; more readers than this would take most of a small
+# fleet from all others.
+MAX_READERS = 10
+# Share of an engine's memory that is counted on: it is given out in blocks.
+MEMORY_SHARE = 0.97
 # Time between a node and an engine, both ways, in milliseconds.
 NETWORK_MS = 4.0
 
@@ -123,11 +136,14 @@
     :param candidate: the backend server.
     :param helpers: backend servers that read parts of its prompt.
     :param estimate: what is expected.
+    :param reserves: whether the helpers also hold their parts of the prompt, for
+        which memory must be set aside.
     """
 
     candidate: Candidate
     helpers: tuple[Candidate, ...]
     estimate: Estimate
+    reserves: bool = False
 
     @property
     def readers(self) -> tuple[Candidate, ...]:
@@ -243,12 +259,13 @@
     now: float,
 ) -> float:
     needed = (demand.prompt_tokens + demand.answer_tokens) / parts
+    room = profile.memory_tokens * MEMORY_SHARE
     held = sum(w.prompt_tokens + w.answer_tokens for w in works)
-    if held + needed <= profile.memory_tokens:
+    if held + needed <= room:
         return 0.0
     for work in sorted(works, key=lambda w: w.end_s):
         held -= work.prompt_tokens + work.answer_tokens
-        if held + needed <= profile.memory_tokens:
+        if held + needed <= room:
             return 1_000 * max(0.0, work.end_s - now)
     return float("inf")
 
@@ -275,44 +292,48 @@
         (c for c in candidates if has_room(c)),
         key=lambda c: (not c.near, _rank(domain, c.server.backend_id)),
     )
-    if not open_ones:
-        return None
     if demand.prompt_tokens >= LONG_TOKENS:
         open_ones.reverse()
-    last = max(1, len(open_ones) - 1)
-    rated = [
-        (estimate(c, demand, now), c, ORDER_LOSS * place / last)
-        for place, c in enumerate(open_ones)
-    ]
-    best, candidate, _ = min(rated, key=lambda r: r[0].loss + r[2])
-    single = Placement(candidate, (), best)
-    if candidate.profile is None:
-        return single
-    return min(
-        itertools.chain([single], _with_helpers(open_ones, demand, now, candidate)),
-        key=lambda p: p.estimate.loss,
+    options = itertools.chain(
+        _alone(open_ones, demand, now), _together(open_ones, demand, now)
     )
+    return min(options, key=lambda rated: rated[0], default=(0.0, None))[1]
+
+
+def _alone(
+    candidates: Sequence[Candidate], demand: Demand, now: float
+) -> Iterator[tuple[float, Placement]]:
+    last = max(1, len(candidates) - 1)
+    for place, candidate in enumerate(candidates):
+        rated = estimate(candidate, demand, now)
+        if math.isfinite(rated.first_ms):
+            cost = rated.loss + ORDER_LOSS * place / last
+            yield cost, Placement(candidate, (), rated)
 
 
-def _with_helpers(
-    candidates: Sequence[Candidate], demand: Demand, now: float, first: Candidate
-) -> Iterable[Placement]:
-    profile = first.profile
-    if profile is None or demand.prompt_tokens < LONG_TOKENS:
+def _together(
+    candidates: Sequence[Candidate], demand: Demand, now: float
+) -> Iterator[tuple[float, Placement]]:
+    if demand.prompt_tokens < LONG_TOKENS or not candidates:
         return
-    if read_ms(profile, demand.prompt_tokens) <= READ_SHARE * demand.objective_ms:
+    profile = candidates[0].profile
+    if profile is None:
         return
-    idle = [
-        c
-        for c in candidates
-        if not c.works and not c.cold and c is not first and c.failing < RISK_FROM
-    ]
-    if first.works:
+    aim_ms = READ_SHARE * demand.objective_ms
+    least = readers_for_memory(profile, demand)
+    if least == 1 and read_ms(profile, demand.prompt_tokens) <= aim_ms:
         return
-    for readers in range(2, min(MAX_READERS, len(idle) + 1) + 1):
+    idle = [c for c in candidates if not c.works and not c.cold]
+    idle.sort(key=lambda c: c.failing)
+    for readers in range(max(2, least), min(MAX_READERS, len(idle)) + 1):
+        first, *helpers = idle[:readers]
         rated = estimate(first, demand, now, readers)
-        yield Placement(first, tuple(idle[: readers - 1]), rated)
-        if read_ms(profile, demand.prompt_tokens, parts=readers) <= (
-            READ_SHARE * demand.objective_ms
-        ):
+        yield rated.loss, Placement(first, tuple(helpers), rated, least > 1)
+        if read_ms(profile, demand.prompt_tokens, parts=readers) <= aim_ms:
             return
+
+
+def readers_for_memory(profile: EngineProfile, demand: Demand) -> int:
+    """Return how many engines it takes to hold a request's prompt and answer."""
+    usable = profile.memory_tokens * MEMORY_SHARE
+    return math.ceil((demand.prompt_tokens + demand.answer_tokens) / usable)
--- a/src/tanagerkeel/relay_entry/__init__.py
+++ b/src/tanagerkeel/relay_entry/__init__.py
@@ -15,6 +15,8 @@
     BackendCodec,
     CallerCodec,
     Helper,
+    ReleaseMemory,
+    ReserveMemory,
     SendOptions,
 )
 from tanagerkeel.relay_entry._settings import (
@@ -36,6 +38,8 @@
     "RelayBounds",
     "RelayNode",
     "RelaySettings",
+    "ReleaseMemory",
+    "ReserveMemory",
     "SendOptions",
     "StoreDecoder",
     "UnreadableEntry",
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -99,12 +99,12 @@
         try:
             connection = await self._pool.take(self.server.address, idle_s)
         except NoConnection as error:
-            return NotSent(error.reason)
+            return NotSent(error.reason, error.refused)
         self._connection = connection
         left_ms = int(1_000 * (run.deadline_s - self._state.clock.monotonic()))
         if left_ms <= 0:
             self._pool.give_back(connection)
-            return NotSent("its time is over")
+            raise TimeoutError
         options = SendOptions(
             server=self.server,
             account=run.terms.account.name if run.terms.account else None,
@@ -135,7 +135,7 @@
             if head.not_run or head.status == MISDIRECTED_STATUS:
                 await self._rest()
                 self._learn(head)
-                return NotRun(f"status {head.status}")
+                return NotRun(f"status {head.status}", head.at_fault)
             if self._run.streams and head.success:
                 return await self._relay_events(head)
             return await self._relay_whole(head)
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -20,16 +20,28 @@
 
 @attrs.frozen
 class NotSent:
-    """Nothing has left this node."""
+    """
+    Nothing has left this node.
+
+    :param reason: why.
+    :param crashed: whether nothing listens where the backend server did.
+    """
 
     reason: str
+    crashed: bool = False
 
 
 @attrs.frozen
 class NotRun:
-    """The backend server says that it did not run the request and never will."""
+    """
+    The backend server says that it did not run the request and never will.
+
+    :param reason: what it said.
+    :param at_fault: address of the backend server that it blames; None for itself.
+    """
 
     reason: str
+    at_fault: str | None = None
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_protocols.py
+++ b/src/tanagerkeel/relay_entry/_protocols.py
@@ -8,7 +8,37 @@
 from tanagerkeel.gateways.exchange import RawHead
 from tanagerkeel.relay import BackendServer, CallerRequest, Headers, ReplyHead
 
-__all__ = ["BackendCodec", "CallerCodec", "CallerReply", "Helper", "SendOptions"]
+__all__ = [
+    "BackendCodec",
+    "CallerCodec",
+    "CallerReply",
+    "Helper",
+    "ReleaseMemory",
+    "ReserveMemory",
+    "SendOptions",
+]
+
+
+@attrs.frozen
+class ReserveMemory:
+    """
+    An order to set memory aside, or to keep it.
+
+    :param reservation: unique id; the same id once more renews it.
+    :param tokens: how much.
+    :param hold_ms: for how long from its arrival, in milliseconds.
+    """
+
+    reservation: str
+    tokens: int
+    hold_ms: int
+
+
+@attrs.frozen
+class ReleaseMemory:
+    """An order to give memory back."""
+
+    reservation: str
 
 
 @attrs.frozen
@@ -69,6 +99,11 @@
     def decode(self, raw: RawHead) -> ReplyHead:
         """Return status and headers of an answer."""
 
+    def encode_order(
+        self, server: BackendServer, order: ReserveMemory | ReleaseMemory
+    ) -> bytes:
+        """Return the bytes of an order; a status of 200 says that it is done."""
+
 
 class CallerReply(Protocol):
     """The answer to one caller."""
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -1,6 +1,7 @@
 """The way of a request: admit, place, send, and send again where that is allowed."""
 
 import asyncio
+import math
 import random
 from collections.abc import Iterator
 
@@ -33,6 +34,7 @@
 )
 from tanagerkeel.relay_entry._protocols import BackendCodec, CallerReply, Helper
 from tanagerkeel.relay_entry._refusals import send_refusal
+from tanagerkeel.relay_entry._reservations import Reservation, Reservations
 from tanagerkeel.relay_entry._run import RelayRun
 from tanagerkeel.relay_entry._state import RelayState
 
@@ -76,6 +78,11 @@
     _random: random.Random
     _open: int = 0
     _probes: set[asyncio.Task] = attrs.field(factory=set)
+    _reservations: Reservations = attrs.field()
+
+    @_reservations.default
+    def _make_reservations(self) -> Reservations:
+        return Reservations(self._pool, self._codec)
 
     @property
     def open_requests(self) -> int:
@@ -291,25 +298,64 @@
         )
 
     async def _attempt(self, run: RelayRun, placement: Placement) -> Outcome:
+        works = self._works(run, placement, self._state.clock.monotonic())
+        for work in works:
+            self._state.ledger.add(work)
+        self._news.changed()
+        try:
+            if placement.reserves:
+                return await self._send_with_memory(run, placement, works)
+            helpers = tuple(Helper(h.server.address) for h in placement.helpers)
+            return await self._send(run, placement, works, helpers)
+        finally:
+            for work in works:
+                self._state.ledger.discard(work)
+            self._news.changed()
+            self._state.changed()
+
+    async def _send_with_memory(
+        self, run: RelayRun, placement: Placement, works: tuple[Work, ...]
+    ) -> Outcome:
+        request_id = run.request.request_id
+        part = math.ceil(run.request.demand.prompt_tokens / len(placement.readers))
+        wanted = (
+            Reservation(h.server, f"{request_id}.{run.sends}.{place}", part)
+            for place, h in enumerate(placement.helpers)
+        )
+        held = await self._reservations.reserve_all(wanted, request_id)
+        if held is None:
+            return NotSent("an engine did not set memory aside")
+        keeping = asyncio.create_task(self._reservations.keep(held))
+        try:
+            helpers = tuple(Helper(r.server.address, r.reservation_id) for r in held)
+            return await self._send(run, placement, works, helpers)
+        finally:
+            keeping.cancel()
+            self._reservations.release(held)
+
+    async def _send(
+        self,
+        run: RelayRun,
+        placement: Placement,
+        works: tuple[Work, ...],
+        helpers: tuple[Helper, ...],
+    ) -> Outcome:
         server = placement.candidate.server
         started_s = self._state.clock.monotonic()
-        works = self._works(run, placement, started_s)
-        run.tried.add(server.backend_id)
         if placement.candidate.cold:
             self._state.cold_shares.sent(server.backend_id, started_s)
-        for work in works:
-            self._state.ledger.add(work)
-        self._news.changed()
         send_id = f"{run.request.request_id}/{run.sends}"
-        quarantine = self._state.quarantine
-        quarantine.started(
-            server.backend_id, send_id, run.fingerprint, str(server.born_ms)
+        life = str(server.born_ms)
+        self._state.quarantine.started(
+            server.backend_id, send_id, run.fingerprint, life
         )
-
-        def on_first() -> None:
-            self._first(run, placement, works, started_s)
-
-        helpers = tuple(Helper(h.server.address) for h in placement.helpers)
+        if run.events:
+            log(
+                LogEvent.RELAY_RESUMED,
+                request=run.request.request_id,
+                backend=server.backend_id,
+                after=run.last_event_id,
+            )
         attempt = Attempt(
             run,
             placement,
@@ -318,19 +364,12 @@
             self._codec,
             helpers,
             lambda: run.repeatable and self._take_repeat(run),
-            on_first,
+            lambda: self._first(run, placement, works, started_s),
         )
-        if run.events:
-            log(
-                LogEvent.RELAY_RESUMED,
-                request=run.request.request_id,
-                backend=server.backend_id,
-                after=run.last_event_id,
-            )
-        run.sends += 1
         before = run.unsure
+        run.sends += 1
         run.unsure = True
-        blame_later = False
+        blame_s = 0.0
         try:
             outcome = await attempt.carry_out()
             match outcome:
@@ -339,20 +378,14 @@
                     run.unsure = before
                 case NotRun():
                     run.unsure = before
-            blame_later = isinstance(outcome, Lost)
-            self._judge(run, server, outcome)
+                case Lost():
+                    blame_s = BLAME_S
+            self._judge(run, placement, outcome)
             return outcome
         finally:
-            for work in works:
-                self._state.ledger.discard(work)
-            if blame_later:
-                asyncio.get_running_loop().call_later(
-                    BLAME_S, quarantine.ended, server.backend_id, send_id
-                )
-            else:
-                quarantine.ended(server.backend_id, send_id)
-            self._news.changed()
-            self._state.changed()
+            asyncio.get_running_loop().call_later(
+                blame_s, self._state.quarantine.ended, server.backend_id, send_id
+            )
 
     def _works(
         self, run: RelayRun, placement: Placement, now: float
@@ -386,10 +419,13 @@
         now = self._state.clock.monotonic()
         took_ms = 1_000 * (now - started_s)
         expected = placement.estimate
-        for work in works:
+        for place, work in enumerate(works):
             work.started = True
             work.first_s = now
             work.end_s = now + (expected.end_ms - expected.first_ms) / 1_000
+            if place > 0 and not placement.reserves:
+                # A helper without memory of the prompt is done with its part.
+                self._state.ledger.discard(work)
         if run.streams:
             pace = took_ms / max(1.0, expected.first_ms / placement.candidate.pace)
         else:
@@ -402,7 +438,8 @@
         )
         self._news.changed()
 
-    def _judge(self, run: RelayRun, server: BackendServer, outcome: Outcome) -> None:
+    def _judge(self, run: RelayRun, placement: Placement, outcome: Outcome) -> None:
+        server = placement.candidate.server
         now = self._state.clock.monotonic()
         match outcome:
             case Delivered():
@@ -411,15 +448,18 @@
                 return
             case NotSent():
                 mishap = Mishap.UNREACHABLE
-                self._state.quarantine.died(server.backend_id, now, str(server.born_ms))
+                if outcome.crashed:
+                    self._crashed(server)
             case NotRun():
                 mishap = Mishap.SHED
+                server = self._at_fault(placement, outcome)
             case Answered():
                 mishap = Mishap.ERROR
             case Lost():
                 mishap = outcome.mishap
                 if mishap is Mishap.BROKEN:
                     self._look_whether_alive(server)
+        run.tried.add(server.backend_id)
         reason = getattr(outcome, "reason", mishap.value)
         self._metrics.mishaps.labels(mishap.name.lower()).inc()
         self._state.failed(server, mishap, run.request.request_id)
@@ -433,6 +473,12 @@
             sends=run.sends,
         )
 
+    def _at_fault(self, placement: Placement, outcome: NotRun) -> BackendServer:
+        """Return the backend server that a refusal blames, which may be a helper."""
+        readers = (r.server for r in placement.readers)
+        blamed = (s for s in readers if s.address == outcome.at_fault)
+        return next(blamed, placement.candidate.server)
+
     def _look_whether_alive(self, server: BackendServer) -> None:
         """Tell a crash from a reset connection by connecting once more."""
         task = asyncio.create_task(self._connect_once(server))
@@ -442,21 +488,23 @@
     async def _connect_once(self, server: BackendServer) -> None:
         try:
             connection = await self._pool.take(server.address, 0.0)
-        except NoConnection:
-            now = self._state.clock.monotonic()
-            held = self._state.quarantine.died(
-                server.backend_id, now, str(server.born_ms)
-            )
-            for fingerprint in held:
-                log(
-                    LogEvent.REQUEST_QUARANTINED,
-                    fingerprint=fingerprint,
-                    backend=server.backend_id,
-                )
+        except NoConnection as error:
+            if error.refused:
+                self._crashed(server)
             self._state.failed(server, Mishap.UNREACHABLE, "")
         else:
             self._pool.give_back(connection)
 
+    def _crashed(self, server: BackendServer) -> None:
+        now = self._state.clock.monotonic()
+        quarantine = self._state.quarantine
+        for fingerprint in quarantine.died(server.backend_id, now, str(server.born_ms)):
+            log(
+                LogEvent.REQUEST_QUARANTINED,
+                fingerprint=fingerprint,
+                backend=server.backend_id,
+            )
+
     def _finished(
         self, run: RelayRun, placement: Placement, outcome: Delivered
     ) -> None:
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -30,8 +30,9 @@
 __all__ = ["RelayState"]
 
 # A configuration counts as unconfirmed so long before the bound on revoked keys, in
-# seconds: what was admitted before must have reached its backend server by then.
-CONFIRM_MARGIN_S = 0.8
+# seconds. The bound runs to when a caller sends, which is before the node decides, so
+# the margin covers only a difference in the pace of clocks.
+CONFIRM_MARGIN_S = 0.2
 # Weight of the newest answer in the usual time of a plain service.
 USUAL_WEIGHT = 0.1
 # Until a plain service has answered, in milliseconds.
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -75,10 +75,7 @@
             if self._revision is None:
                 self._take_listing(await self._store.list_all(ALL_KEYS))
             else:
-                changes = await self._store.changes(ALL_KEYS, self._revision, WATCH_MS)
-                for event in changes.events:
-                    self._take_event(event, changes.revision)
-                self._revision = changes.revision
+                asked_s += await self._take_changes(self._revision)
         except HistoryLost:
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
@@ -91,6 +88,19 @@
         self._state.confirmed_s = asked_s
         self._state.expire()
 
+    async def _take_changes(self, after: int) -> float:
+        """Return how long after the start of the call nothing had changed yet."""
+        asked_s = self._state.clock.boottime()
+        changes = await self._store.changes(ALL_KEYS, after, WATCH_MS)
+        for event in changes.events:
+            self._take_event(event, changes.revision)
+        self._revision = changes.revision
+        waited_s = self._state.clock.boottime() - asked_s
+        if changes.events or waited_s < WATCH_MS / 1_000:
+            return 0.0
+        # The store had nothing new until the wait that it was asked for was over.
+        return WATCH_MS / 1_000
+
     def _reached(self) -> None:
         self._state.backends.store_back(self._state.clock.monotonic())
         if not self._reachable:
