--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -42,11 +42,14 @@
     :param max_bytes: largest header block, in bytes.
     :param too_large: returns the whole answer to a larger one.
     :param malformed: returns the whole answer to what isn't HTTP.
+    :param timeout_s: from a connection, or the first byte of a further request, to
+        the end of headers, in seconds.
     """
 
     max_bytes: int = DEFAULT_HEADER_BYTES
     too_large: Callable[[Headers], bytes] = _plain_too_large
     malformed: Callable[[Headers], bytes] = _plain_malformed
+    timeout_s: float = HEADER_TIMEOUT_S
 
 
 class BoundedProtocol(HttpToolsProtocol):
@@ -182,7 +185,7 @@
     def _start_header_timer(self) -> None:
         self._cancel_header_timer()
         self._header_timer = self.loop.call_later(
-            HEADER_TIMEOUT_S, self.transport.close
+            self._policy.timeout_s, self.transport.close
         )
 
     def _cancel_header_timer(self) -> None:
--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import functools
 import logging
 import socket
 from collections.abc import Iterator
@@ -54,6 +53,7 @@
     _host: str
     _port: int
     _headers: HeaderPolicy = HeaderPolicy()
+    _keep_alive_s: float = KEEP_ALIVE_S
     _server: _Server | None = None
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
     _placeholder: socket.socket | None = None
@@ -75,11 +75,12 @@
         self._port = listening.getsockname()[1]
         config = uvicorn.Config(
             self._application,
-            http=functools.partial(BoundedProtocol, self._headers),
+            http=self._connected,
             lifespan="off",
             access_log=False,
             log_config=None,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_keep_alive=self._keep_alive_s,
+            date_header=False,
             server_header=False,
         )
         server = _Server(config)
@@ -89,6 +90,21 @@
         while not server.started and not task.done():
             await asyncio.sleep(0.001)
 
+    def limit(self, headers: HeaderPolicy, keep_alive_s: float) -> None:
+        """
+        Bound what new connections may send and how long they may stay idle.
+
+        :param headers: bounds on headers.
+        :param keep_alive_s: longest time between two requests, in seconds.
+        """
+        self._headers = headers
+        self._keep_alive_s = keep_alive_s
+        if self._server is not None:
+            self._server.config.timeout_keep_alive = keep_alive_s
+
+    def _connected(self, **options: Any) -> BoundedProtocol:
+        return BoundedProtocol(self._headers, **options)
+
     async def stop(self, grace_s: float | None = None) -> None:
         """
         Take no new connection and wait until the open requests have ended.
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -11,10 +11,11 @@
 from tanagerkeel.clock import Clock, SystemClock
 from tanagerkeel.errors import TanagerkeelError
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.callers import CancelOnDisconnect
+from tanagerkeel.gateways.callers import CancelOnDisconnect, header_policy
 from tanagerkeel.gateways.exchange import ConnectionPool
 from tanagerkeel.gateways.http_server import HeaderPolicy, HttpServer
 from tanagerkeel.gateways.platform import PlatformUnavailable, WatchedStore
+from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._facts import StoreDecoder
 from tanagerkeel.relay_entry._ingress import RelayIngress
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -84,6 +85,21 @@
             self._random,
         )
 
+    @property
+    def callers_address(self) -> str:
+        """Where callers connect."""
+        return self._servers[0].address
+
+    @property
+    def readiness_address(self) -> str:
+        """Where the balancer asks."""
+        return self._servers[1].address
+
+    @property
+    def metrics_address(self) -> str:
+        """Where counters and histograms are served."""
+        return self._servers[2].address
+
     async def start(self) -> None:
         """
         Listen, and begin to follow the platform.
@@ -99,6 +115,7 @@
         )
         metrics = self._server(self.settings.metrics_listen, metrics_app(self._metrics))
         self._servers = [callers, readiness, metrics]
+        self.state.on_limits = self._limit
         for server in self._servers:
             await server.start()
         await self._news.start()
@@ -173,6 +190,13 @@
         """Take in that the settings file can't be read; the old ones stay."""
         log(LogEvent.SETTINGS_REJECTED, reason=str(error))
 
+    def _limit(self, limits: CallerLimits) -> None:
+        headers = attrs.evolve(
+            header_policy(limits.max_header_bytes),
+            timeout_s=limits.header_timeout_ms / 1_000,
+        )
+        self._servers[0].limit(headers, limits.idle_timeout_ms / 1_000)
+
     async def _leave(self) -> None:
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_S):
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -1,6 +1,7 @@
 """What one node believes: configuration, backend servers, peers, running work."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -9,6 +10,7 @@
 from tanagerkeel.relay import (
     BackendServer,
     BackendTable,
+    CallerLimits,
     ColdShares,
     Ledger,
     Mishap,
@@ -53,6 +55,7 @@
     :param ledger: what runs where.
     :param quarantine: requests that bring down backend servers.
     :param stopping: whether the node is about to stop.
+    :param on_limits: called with the bounds on callers that come into force.
     """
 
     settings: RelaySettings
@@ -63,6 +66,7 @@
     ledger: Ledger = attrs.field(factory=Ledger)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     stopping: bool = False
+    on_limits: Callable[[CallerLimits], None] | None = None
     peers: PeerTable = attrs.field()
     cold_shares: ColdShares = attrs.field()
     _retry_shares: dict[str, RetryShare] = attrs.field(factory=dict)
@@ -193,6 +197,8 @@
                 )
             return
         self.configuration = new
+        if self.on_limits is not None and (old is None or old.limits != new.limits):
+            self.on_limits(new.limits)
         log(
             LogEvent.CONFIGURATION_ADOPTED,
             version=new.version,
--- /dev/null
+++ b/tests/platform/test_rules_answers.py
@@ -0,0 +1,239 @@
+"""MIXED, TWICE, REFUSED, ORDER and UNASKED, brought about by scripted engines."""
+
+import asyncio
+
+from tests.platform.fixtures import (
+    CHUNKED,
+    Engine,
+    Seen,
+    answer,
+    chunk,
+    event,
+    head_of,
+    plain,
+    read_reply,
+    relaying,
+    reset,
+    shed,
+    stream,
+)
+from tests.support import collect
+
+CHAT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 1000,430")
+
+
+async def torn(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Break off in the middle of a body that has a length."""
+    writer.write(head_of(seen, length=100) + b"half")
+    await writer.drain()
+    reset(writer)
+
+
+async def unframed(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """End the body with the connection."""
+    writer.write(head_of(seen) + b"no length")
+    await writer.drain()
+    writer.close()
+    raise ConnectionResetError
+
+
+async def unframed_reset(
+    engine: Engine, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Reset the connection of a body that has no length."""
+    writer.write(head_of(seen) + b"no len")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def unsealed(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await answer(writer, seen, seal=None)
+
+
+async def foreign(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await answer(writer, seen, request_id="somebody-elses")
+
+
+async def garbage(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"\x00\x01 no answer at all\r\n\r\n")
+    await writer.drain()
+
+
+async def twice(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Send a second answer some time after the first one."""
+    await answer(writer, seen, body=b"first")
+    await asyncio.sleep(0.05)
+    await answer(writer, seen, body=b"second")
+
+
+async def own_error(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await answer(writer, seen, 500, b"engine error")
+
+
+async def test_spoilt_answers_of_safe_requests_are_made_good():
+    for script in (torn, unframed_reset, unsealed, foreign, garbage, own_error):
+        async with relaying(script, script, plain) as relay:
+            # The plain engine may come first; either way the caller gets its answer.
+            reply = await relay.call("/lookup/x")
+            for n in range(2, 6):
+                if relay.sends() > 1:
+                    break
+                reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            if reply.status == 200:
+                assert reply.body == b"i-2" and reply.complete, script.__name__
+            else:
+                # Both sends that its route allows met a broken engine.
+                assert reply.status in (500, 502), script.__name__
+
+
+async def test_spoilt_answers_of_unsafe_requests_run_once_and_are_no_refusals():
+    for script in (torn, unframed_reset, unsealed, foreign, garbage):
+        async with relaying(script, script) as relay:
+            reply = await relay.call("/reserve/x", method="POST", body=b"seat 12")
+            assert reply.status == 502, (script.__name__, reply.status)
+            assert relay.sends() == 1, script.__name__
+
+
+async def test_an_engines_own_failure_is_passed_on_with_its_seal():
+    async with relaying(own_error) as relay:
+        reply = await relay.call("/reserve/x", method="POST", body=b"seat")
+        assert (reply.status, reply.body) == (500, b"engine error")
+        assert "tanagerkeel-response-seal" in reply.headers
+
+
+async def test_a_body_that_ends_with_its_connection_is_whole():
+    async with relaying(unframed) as relay:
+        reply = await relay.call("/reserve/x", method="POST", body=b"seat")
+        assert (reply.status, reply.body) == (200, b"no length")
+        assert reply.complete
+
+
+async def test_a_second_answer_reaches_nobody():
+    async with relaying(twice) as relay:
+        for n in range(3):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert (reply.status, reply.body) == (200, b"first")
+            await asyncio.sleep(0.08)
+
+
+async def test_an_unsafe_request_that_did_not_run_is_refused_truthfully():
+    async with relaying(shed) as relay:
+        reply = await relay.call("/reserve/x", method="POST", body=b"seat")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert relay.sends() == 1
+
+
+async def test_a_dead_engine_costs_an_unsafe_request_nothing():
+    async with relaying(plain, plain) as relay:
+        await relay.engines[0].stop()
+        for n in range(6):
+            reply = await relay.call(
+                "/reserve/x", request_id=f"r{n}", method="POST", body=b"seat"
+            )
+            assert (reply.status, reply.body) == (200, b"i-1")
+
+
+async def test_a_stream_that_breaks_off_goes_on_elsewhere_without_a_seam():
+    async with relaying(stream(9, 4), stream(9, 4), service="models") as relay:
+        # Each engine breaks off after event 4; the second has nothing to add.
+        reply = await relay.call("/chat/x", method="POST", body=b"p", headers=CHAT)
+        assert reply.body == b"".join(map(event, range(1, 5)))
+        assert not reply.complete
+    async with relaying(stream(9, 4), stream(9), service="models") as relay:
+        for n in range(4):
+            reply = await relay.call(
+                "/chat/x", request_id=f"r{n}", method="POST", body=b"p", headers=CHAT
+            )
+            assert reply.complete
+            assert reply.body == b"".join(map(event, range(1, 10)))
+
+
+async def test_a_stream_that_may_not_be_resumed_breaks_off_visibly():
+    from tests.platform.fixtures import configuration, route
+
+    routes = [route("chat", "stream", "models", canResume=False)]
+    document = configuration(routes=routes)
+    scripts = (stream(9, 4), stream(9, 4))
+    async with relaying(*scripts, service="models", document=document) as relay:
+        reply = await relay.call("/chat/x", method="POST", body=b"p", headers=CHAT)
+        assert not reply.complete
+        assert relay.sends() == 1
+
+
+async def test_events_that_repeat_are_never_passed_on():
+    async def again(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(head_of(seen, extra=CHUNKED))
+        for number in (1, 2, 2, 3):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async with relaying(again, stream(3), service="models") as relay:
+        for n in range(4):
+            reply = await relay.call(
+                "/chat/x", request_id=f"r{n}", method="POST", body=b"p", headers=CHAT
+            )
+            assert reply.body == b"".join(map(event, (1, 2, 3)))
+
+
+async def test_what_engines_get_is_what_callers_sent():
+    async with relaying(plain) as relay:
+        reply = await relay.call(
+            "/lookup/a%20b/../c?x=1&y=%2F",
+            headers=(
+                "X-Own: kept",
+                "Connection: X-Hop",
+                "X-Hop: dropped",
+                "Tanagerkeel-Tenant-Id: forged",
+                "Tanagerkeel-Target-Instance: forged",
+            ),
+        )
+        assert reply.status == 200
+        seen = relay.engines[0].seen[0]
+        assert seen.target == "/lookup/a%20b/../c?x=1&y=%2F"
+        assert seen.headers["x-own"] == "kept"
+        assert "x-hop" not in seen.headers
+        assert seen.headers["tanagerkeel-tenant-id"] == "acme"
+        assert seen.headers["tanagerkeel-target-instance"] == "i-0"
+        assert "authorization" not in seen.headers
+        assert 0 < int(seen.headers["tanagerkeel-deadline-remaining"]) <= 2_000
+
+
+async def test_a_chunked_body_arrives_whole_and_with_a_length():
+    async with relaying(plain) as relay:
+        host, _, port = relay.node.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /reserve/x HTTP/1.1\r\nHost: service.example\r\n"
+            b"Tanagerkeel-Attempt-Id: c1\r\nAuthorization: Token key-of-acme\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\nseat\r\n3\r\n 12\r\n0\r\n\r\n"
+        )
+        reply = await read_reply(reader)
+        writer.close()
+        assert reply.status == 200
+        seen = relay.engines[0].seen[0]
+        assert seen.body == b"seat 12"
+        assert "transfer-encoding" not in seen.headers
+
+
+async def test_an_answer_before_the_body_was_read_ends_the_connection():
+    connections = []
+
+    async def early(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        connections.append(id(writer))
+        await answer(writer, seen, 400, b"too long")
+
+    async with relaying(early) as relay:
+        for n in range(2):
+            reply = await relay.call(
+                "/lookup/x", request_id=f"r{n}", method="POST", body=b"b" * 60_000
+            )
+            assert reply.status == 400
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
--- /dev/null
+++ b/tests/platform/test_rules_fleet.py
@@ -0,0 +1,275 @@
+"""CONFIG, ROUTE, DENIED, DRAIN, EVAC, GONE, LOST and BUDGET on a running node."""
+
+import asyncio
+
+from tanagerkeel.relay_entry import RelayBounds
+from tests.platform.fixtures import (
+    CHUNKED,
+    HOST,
+    KEY,
+    Engine,
+    Seen,
+    answer,
+    chunk,
+    configuration,
+    event,
+    head_of,
+    plain,
+    read_reply,
+    relaying,
+    route,
+    shed,
+)
+from tests.support import collect
+
+CHAT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 1000,430")
+SHORT_BOUNDS = RelayBounds(revoke_ms=1_500, grace_s=3.0)
+
+
+async def silent(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(3)
+
+
+async def slow(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.3)
+    await answer(writer, seen, body=b"slow")
+
+
+async def endless(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(head_of(seen, extra=CHUNKED))
+    for number in range(1, 1_000):
+        writer.write(chunk(event(number)))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+
+
+async def test_unknown_routes_and_keys_are_told_apart():
+    async with relaying(plain) as relay:
+        assert (await relay.call("/nowhere/x")).status == 404
+        assert (await relay.call("/lookup/x", key="unknown")).status == 401
+        assert (await relay.call("/lookup/x", key=None)).status == 401
+        assert relay.sends() == 0
+
+
+async def test_the_longest_prefix_wins_and_public_routes_need_no_key():
+    routes = [
+        route("lookup", "safe", "nobody"),
+        route("deep", "safe", "booking", prefix="/lookup/deep/", public=True),
+    ]
+    async with relaying(plain, document=configuration(routes=routes)) as relay:
+        assert (await relay.call("/lookup/deep/x", key=None)).status == 200
+        assert (await relay.call("/lookup/x")).status == 503
+
+
+async def test_a_new_version_is_in_force_at_once_and_an_older_one_never():
+    async with relaying(plain) as relay:
+        relay.store.write("op/config", configuration(7, routes=[]))
+        await relay.until(lambda: relay.node.state.configuration.version == 7)
+        assert (await relay.call("/lookup/x")).status == 404
+        relay.store.write("op/config", configuration(5))
+        relay.store.write("servers/i-9", b"later")
+        await relay.until(lambda: "watched" in relay.store.calls[-3:])
+        await asyncio.sleep(0.05)
+        assert relay.node.state.configuration.version == 7
+        assert (await relay.call("/lookup/x")).status == 404
+
+
+async def test_a_lost_history_is_made_good_by_a_listing():
+    async with relaying(plain) as relay:
+        relay.store.forgetful = True
+        relay.store.write("op/config", configuration(9))
+        await relay.until(lambda: relay.node.state.configuration.version == 9)
+
+
+async def test_entries_of_another_writer_name_nothing():
+    async with relaying(plain) as relay:
+        for n, value in enumerate(
+            (b"\xff\xfe", b"[]", b"{}", {"service": 3}, {"service": "booking"})
+        ):
+            relay.store.write(f"servers/bad-{n}", value)
+        bad = relay.engines[0].entry("booking", state="paused")
+        relay.store.write("servers/bad-state", bad)
+        wrong = relay.engines[0].entry("booking", address="nowhere")
+        relay.store.write("servers/bad-address", wrong)
+        relay.store.write("op/config", b"{not json")
+        relay.store.write("op/evacuate/zone-z", {})
+        await relay.until(lambda: "zone-z" in relay.node.state.backends.domains_out)
+        assert len(relay.node.state.backends) == 1
+        assert (await relay.call("/lookup/x")).status == 200
+
+
+async def test_a_key_that_was_taken_away_is_refused():
+    async with relaying(plain) as relay:
+        accounts = [{"name": "acme", "apiKeys": ["another"], "priority": 1}]
+        relay.store.write("op/config", configuration(3, tenants=accounts))
+        await relay.until(lambda: relay.node.state.configuration.version == 3)
+        assert (await relay.call("/lookup/x")).status == 401
+
+
+async def test_a_node_that_is_cut_off_refuses_keys_before_the_bound():
+    async with relaying(plain, bounds=SHORT_BOUNDS) as relay:
+        relay.store.down = True
+        await asyncio.sleep(0.2)
+        assert (await relay.call("/lookup/x")).status == 200
+        await relay.until(lambda: not relay.node.state.confirmed)
+        assert relay.node.state.confirmed_age_s < SHORT_BOUNDS.revoke_ms / 1_000
+        reply = await relay.call("/lookup/x", request_id="r2")
+        assert reply.status == 503 and "retry-after" in reply.headers
+        assert await relay.ready() == 503
+        relay.store.down = False
+        await relay.until(lambda: relay.node.state.confirmed)
+        assert (await relay.call("/lookup/x", request_id="r3")).status == 200
+
+
+async def test_an_engine_that_leaves_gets_nothing_more():
+    async with relaying(plain, plain) as relay:
+        leaving = relay.engines[0].entry("booking", state="draining")
+        relay.store.write("servers/i-0", leaving)
+        await relay.until(
+            lambda: len(list(relay.node.state.backends.usable("booking"))) == 1
+        )
+        for n in range(5):
+            assert (await relay.call("/lookup/x", request_id=f"r{n}")).body == b"i-1"
+        relay.store.delete("servers/i-0")
+        await relay.until(lambda: len(relay.node.state.backends) == 1)
+
+
+async def test_a_domain_that_is_taken_out_gets_nothing_until_it_is_back():
+    async with relaying(plain, plain) as relay:
+        far = relay.engines[1].entry("booking", zone="zone-b")
+        relay.store.write("servers/i-1", far)
+        relay.store.write("op/evacuate/zone-a", {})
+        await relay.until(lambda: relay.node.state.backends.domains_out)
+        for n in range(5):
+            assert (await relay.call("/lookup/x", request_id=f"r{n}")).body == b"i-1"
+        relay.store.delete("op/evacuate/zone-a")
+        await relay.until(lambda: not relay.node.state.backends.domains_out)
+
+
+async def test_an_address_that_another_engine_took_over_is_left_alone():
+    async def misdirected(
+        engine: Engine, seen: Seen, writer: asyncio.StreamWriter
+    ) -> None:
+        extra = ("Tanagerkeel-Instance-Id: i-other",)
+        await answer(writer, seen, 421, b"", None, None, extra)
+
+    async with relaying(misdirected, plain) as relay:
+        for n in range(6):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert reply.body == b"i-1"
+        assert len(relay.engines[0].seen) <= 1
+
+
+async def test_a_caller_that_leaves_ends_the_engines_work():
+    async with relaying(endless, service="models") as relay:
+        host, _, port = relay.node.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+            f"Tanagerkeel-Attempt-Id: g1\r\nAuthorization: Token {KEY}\r\n"
+            "Tanagerkeel-Token-Count: 1000,430\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"data: piece 2")
+        writer.close()
+        async with asyncio.timeout(0.5):
+            await relay.until(lambda: relay.engines[0].closed == 1)
+        assert relay.node.state.ledger.own == ()
+
+
+async def test_a_route_without_an_answer_ends_at_its_timeout():
+    routes = [route("lookup", "safe", "booking", timeoutMs=300, maxAttempts=1)]
+    async with relaying(silent, document=configuration(routes=routes)) as relay:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        reply = await relay.call("/lookup/x")
+        assert reply.status == 504
+        assert 0.28 <= loop.time() - started < 0.8
+
+
+async def test_a_silent_engine_leaves_time_for_another():
+    async with relaying(silent, plain) as relay:
+        for n in range(4):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert (reply.status, reply.body) == (200, b"i-1")
+
+
+async def test_no_request_goes_to_more_engines_than_its_route_allows():
+    async with relaying(shed, shed, shed, shed) as relay:
+        reply = await relay.call("/lookup/x")
+        assert reply.status == 503
+        assert relay.sends() == 2
+
+
+async def test_repeats_stay_within_this_nodes_share():
+    bounds = RelayBounds(retry_ratio=0.2, retry_extra=10.0, grace_s=3.0)
+    async with relaying(shed, shed, shed, bounds=bounds) as relay:
+        for n in range(60):
+            await relay.call("/lookup/x", request_id=f"r{n}")
+        assert relay.sends() - 60 <= 0.2 * 60 + 10
+
+
+async def test_a_stop_finishes_what_was_read_and_says_not_ready_at_once():
+    async with relaying(slow) as relay:
+        open_call = asyncio.create_task(relay.call("/lookup/x"))
+        await relay.until(lambda: relay.sends() == 1)
+        stopping = asyncio.create_task(relay.stop())
+        await relay.until(lambda: relay.node.state.stopping)
+        assert not relay.node.state.ready
+        reply = await open_call
+        assert (reply.status, reply.body) == (200, b"slow")
+        assert reply.headers["connection"] == "close"
+        await stopping
+        assert "revoke" in relay.store.calls
+
+
+async def test_a_crossing_request_of_a_stopping_node_is_answered():
+    async with relaying(plain) as relay:
+        host, _, port = relay.node.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        relay.node.state.stopping = True
+        for n in range(2):
+            writer.write(
+                f"GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"Tanagerkeel-Attempt-Id: s{n}\r\n"
+                f"Authorization: Token {KEY}\r\n\r\n".encode()
+            )
+            reply = await read_reply(reader)
+            if n == 0:
+                assert reply.status == 200
+                assert reply.headers["connection"] == "close"
+
+
+async def test_too_large_a_body_and_header_get_their_own_answers():
+    async with relaying(plain) as relay:
+        reply = await relay.call("/reserve/x", method="POST", body=b"b" * 70_000)
+        assert reply.status == 413
+        reply = await relay.call("/lookup/x", headers=(f"X-Long: {'y' * 20_000}",))
+        assert reply.status == 431
+        reply = await relay.call(
+            "/lookup/x",
+            deadline_ms=None,
+            headers=("Tanagerkeel-Deadline-Remaining: soon",),
+        )
+        assert reply.status == 400
+
+
+async def test_a_request_that_brings_down_engines_is_held_back():
+    async def dying(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        if seen.target.endswith("poison"):
+            await engine.stop()
+            raise ConnectionResetError
+        await answer(writer, seen)
+
+    async with relaying(dying, dying, dying, dying) as relay:
+        first = await relay.call("/lookup/poison")
+        assert first.status == 502
+        assert relay.sends() == 2
+        await asyncio.sleep(0.1)
+        again = await relay.call("/lookup/poison", request_id="r2")
+        assert again.status == 503
+        assert relay.sends() == 2
+        assert (await relay.call("/lookup/good", request_id="r3")).status == 200
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
--- /dev/null
+++ b/tests/test_pass_model.py
@@ -0,0 +1,60 @@
+"""The pass model of an engine, against the figures of the deployments' pages."""
+
+from tanagerkeel.relay import EngineProfile, Writing, pass_ms, read_ms, write_ms
+from tests.support import collect
+
+# The engine of the deployments' configuration.
+PROFILE = EngineProfile(
+    slots=8,
+    memory_tokens=232_000,
+    stride=43,
+    step_ms=1.02,
+    per_sequence_ms=0.00452,
+    context_per_k_ms=0.00431,
+    read_tokens_per_ms=206.0,
+    pairs_per_million_ms=0.138,
+    chunk_tokens=2_048,
+    hop_ms=0.075,
+)
+
+
+def test_prompts_read_as_fast_as_the_design_page_says():
+    assert 25 < read_ms(PROFILE, 5_000) < 30
+    assert 340 < read_ms(PROFILE, 45_000) < 400
+    assert 1_800 < read_ms(PROFILE, 133_000) < 2_000
+    assert 27_000 < read_ms(PROFILE, 600_000) < 29_000
+
+
+def test_even_parts_share_the_pairs_of_the_whole_prompt():
+    whole = read_ms(PROFILE, 133_000)
+    halves = read_ms(PROFILE, 133_000, parts=2)
+    assert abs(halves - whole / 2) < 2
+    assert read_ms(PROFILE, 0) == 0
+
+
+def test_a_pause_is_one_stride_without_reading_and_stretches_with_it():
+    writing = Writing(4, 20_000)
+    quiet = pass_ms(PROFILE, writing)
+    assert 43 * 1.02 < quiet < 60
+    short = pass_ms(PROFILE, writing, [5_000])
+    assert quiet + 20 < short < 100
+    # More than the 250 ms that a chat allows; bounded by the chunks of one pass.
+    long = pass_ms(PROFILE, writing, [133_000])
+    assert 600 < long < 1_300
+    assert pass_ms(PROFILE, writing, [600_000]) == pass_ms(
+        PROFILE, writing, [43 * 2_048]
+    )
+
+
+def test_without_writers_a_pass_is_one_step():
+    assert pass_ms(PROFILE, Writing(), [133_000]) < 15
+
+
+def test_a_prompt_on_several_engines_costs_a_hop_each_step():
+    one = write_ms(PROFILE, 100, Writing(1, 50_000))
+    several = write_ms(PROFILE, 100, Writing(1, 50_000), parts=3)
+    assert abs(several - one - 7.5) < 1e-6
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
