Rate long prompts by the passes that they stretch

Cause: dossiers were placed on engines that read others while their estimate was 6 to 14 s, cut after 5 s of silence and sent again; estimates took the first tokens of a prompt for all, so a pass of a long prompt looked half as long as it is; a single failure kept an engine out for seconds; prompts refused memory asked the same engine again at once. Change: the pass model takes the last pass of each prompt; parts of a prompt may go to busy engines where that costs others less; what can't begin within the caller's patience isn't placed; harm to others counts 1.5 times; engines share one order; a silent engine gets 0.7 of the caller's patience, or 1.5 times the estimate.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -21,7 +21,14 @@
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
 from tanagerkeel.relay._ledger import Ledger, Work
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
-from tanagerkeel.relay._pass_model import Writing, pass_ms, read_ms, step_ms, write_ms
+from tanagerkeel.relay._pass_model import (
+    Reading,
+    Writing,
+    pass_ms,
+    read_ms,
+    step_ms,
+    write_ms,
+)
 from tanagerkeel.relay._placement import (
     Candidate,
     Demand,
@@ -50,6 +57,7 @@
     "Mishap",
     "ModelDemand",
     "Placement",
+    "Reading",
     "RelayConfiguration",
     "ReplyHead",
     "RetryShare",
--- a/src/tanagerkeel/relay/_ledger.py
+++ b/src/tanagerkeel/relay/_ledger.py
@@ -9,6 +9,8 @@
 # News of a peer that is silent for longer counts no more, in seconds. Peers repeat
 # their state several times in this time, so that one lost datagram does no harm.
 PEER_SILENCE_S = 2.0
+# Share of a prompt that counts as unread until its first event is seen, however late.
+LEAST_LEFT = 0.1
 
 
 @attrs.define(eq=False)
@@ -26,6 +28,7 @@
     :param first_s: when its first event comes, which ends its reading.
     :param end_s: when it ends.
     :param started: whether its first event has come.
+    :param whole_tokens: length of the whole prompt, when others read parts of it.
     """
 
     backend_id: str
@@ -36,17 +39,19 @@
     first_s: float
     end_s: float
     started: bool = False
+    whole_tokens: int = attrs.field()
 
-    def reading(self, now: float) -> bool:
-        """Return whether its prompt is still read."""
-        return not self.started and now < self.first_s
+    @whole_tokens.default
+    def _read_alone(self) -> int:
+        return self.prompt_tokens
 
     def unread_tokens(self, now: float) -> float:
         """Return how many tokens of its prompt are still to be read."""
-        if not self.reading(now):
+        if self.started:
             return 0.0
         whole_s = max(1e-3, self.first_s - self.sent_s)
-        return self.prompt_tokens * min(1.0, (self.first_s - now) / whole_s)
+        left = max(LEAST_LEFT, (self.first_s - now) / whole_s)
+        return self.prompt_tokens * min(1.0, left)
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -5,8 +5,9 @@
 hundred times as long. A long prompt that is read on an engine stretches the pauses
 of every answer written there, so each candidate is rated by what the request would
 lose there and by what it would cost those that run there already. Short requests
-gather on the engines first in a common order, long ones on the last, and each
-spreads to the rest only as far as it must.
+gather on the engines that come first in an order that all nodes share, those of their
+own failure domain before others; long ones gather on the last, and each spreads to
+the rest only as far as it must.
 """
 
 import itertools
@@ -19,7 +20,13 @@
 from tanagerkeel.relay._backends import BackendServer
 from tanagerkeel.relay._configuration import EngineProfile
 from tanagerkeel.relay._ledger import Work
-from tanagerkeel.relay._pass_model import Writing, pass_ms, read_ms, step_ms
+from tanagerkeel.relay._pass_model import (
+    Reading,
+    Writing,
+    pass_ms,
+    read_ms,
+    step_ms,
+)
 
 __all__ = [
     "Candidate",
@@ -38,8 +45,11 @@
 LATE_LOSS = 0.75
 # From this share of an objective on, an estimate counts as at risk; it counts as
 # missed from the second one on. Estimates are off by a tenth or two.
-RISK_FROM = 0.6
-RISK_TO = 1.1
+RISK_FROM = 0.75
+RISK_TO = 1.05
+# A stretched pass also hits those that come while it lasts, so that harm to others
+# counts this much more than an equal loss of its own.
+HARM_WEIGHT = 1.5
 # Work beyond the slots that an engine may be given: it starts the next request
 # itself, without the time that a node takes to learn of a free slot.
 QUEUE_AHEAD = 2
@@ -49,15 +59,19 @@
 ACROSS_LOSS = 0.01
 # Loss of a backend server that fails every send, in units of the request's worth.
 FAILING_LOSS = 2.0
+# Share of failures that says nothing: a single one of five sends.
+FAILING_FROM = 0.25
 COLD_LOSS = 0.3
 # Prompts from this length on are ordered from the end of the common order.
 LONG_TOKENS = 20_000
 # Share of the objective within which the prompt of a request is to be read; beyond
 # it, more engines read parts of it.
-READ_SHARE = 0.55
+READ_SHARE = 0.75
 # An engine takes up to 16 helpers; more readers than this would take most of a small
 # fleet from all others.
 MAX_READERS = 10
+# Loss of one more reader: its batch is held up, and memory is moved.
+READER_LOSS = 0.05
 # Share of an engine's memory that is counted on: it is given out in blocks.
 MEMORY_SHARE = 0.97
 # Time between a node and an engine, both ways, in milliseconds.
@@ -73,6 +87,8 @@
     :param answer_tokens: expected length of the answer.
     :param objective_ms: what is left of the time to the first event or the answer.
     :param gap_objective_ms: longest pause between events; 0 when none counts.
+    :param patience_ms: what is left of the time that the caller waits for the first
+        event.
     :param usual_ms: how long a call of a plain service usually takes.
     """
 
@@ -80,6 +96,7 @@
     answer_tokens: int
     objective_ms: float
     gap_objective_ms: float
+    patience_ms: float = float("inf")
     usual_ms: float = 0.0
 
     @property
@@ -119,13 +136,20 @@
     :param first_ms: time to the first event, or to the answer.
     :param end_ms: time to the end.
     :param pause_ms: longest pause between events while others read there.
-    :param loss: expected loss, its own and that of others, in units of worth.
+    :param own: its own expected loss, in units of worth.
+    :param harm: expected loss of those that run there, in units of worth.
     """
 
     first_ms: float
     end_ms: float
     pause_ms: float
-    loss: float
+    own: float
+    harm: float
+
+    @property
+    def loss(self) -> float:
+        """Expected loss in all, in units of worth."""
+        return self.own + self.harm
 
 
 @attrs.frozen
@@ -162,12 +186,22 @@
     return min(1.0, max(0.0, (share - RISK_FROM) / (RISK_TO - RISK_FROM)))
 
 
-def _rank(domain: str, backend_id: str) -> int:
-    return xxhash.xxh32_intdigest(f"{domain} {backend_id}".encode())
+def _rank(backend_id: str) -> int:
+    return xxhash.xxh32_intdigest(backend_id.encode())
+
+
+def _own_loss(first_ms: float, demand: Demand) -> float:
+    late = LATE_LOSS * _risk(first_ms, demand.objective_ms)
+    lost = (1.0 - LATE_LOSS) * _risk(first_ms, demand.patience_ms)
+    return (late + lost) * demand.worth
 
 
 def estimate(
-    candidate: Candidate, demand: Demand, now: float, parts: int = 1
+    candidate: Candidate,
+    demand: Demand,
+    now: float,
+    readers: int = 1,
+    reserves: bool = False,
 ) -> Estimate:
     """
     Return what becomes of a request on a candidate.
@@ -175,11 +209,14 @@
     :param candidate: the backend server.
     :param demand: the request.
     :param now: monotonic time, in seconds.
-    :param parts: engines that read even parts of its prompt.
+    :param readers: engines that read even parts of its prompt.
+    :param reserves: whether each of them also holds its part.
     """
     if candidate.profile is None:
         return _estimate_plain(candidate, demand)
-    return _estimate_engine(candidate, candidate.profile, demand, now, parts)
+    return _estimate_engine(
+        candidate, candidate.profile, demand, now, readers, reserves
+    )
 
 
 def _estimate_plain(candidate: Candidate, demand: Demand) -> Estimate:
@@ -188,8 +225,8 @@
     # A tenth for each that runs already: equal ones share the work.
     share = len(candidate.works) / slots
     first_ms = candidate.pace * demand.usual_ms * (1 + rounds) + NETWORK_MS
-    loss = _risk(first_ms, demand.objective_ms) * LATE_LOSS + 0.1 * share
-    return Estimate(first_ms, first_ms, 0.0, loss + _soft_loss(candidate, demand))
+    own = _own_loss(first_ms, demand) + 0.1 * share + _soft_loss(candidate, demand)
+    return Estimate(first_ms, first_ms, 0.0, own, 0.0)
 
 
 def _estimate_engine(
@@ -197,50 +234,52 @@
     profile: EngineProfile,
     demand: Demand,
     now: float,
-    parts: int,
+    readers: int,
+    reserves: bool,
 ) -> Estimate:
     works = candidate.works
-    writing = [w for w in works if not w.reading(now)]
-    unread = [w.unread_tokens(now) for w in works if w.reading(now)]
-    written = sum(w.prompt_tokens for w in writing)
-    beside = Writing(len(writing), written)
-    part = demand.prompt_tokens / parts
-    own_read = read_ms(profile, demand.prompt_tokens, parts=parts)
-    ahead = sum(read_ms(profile, tokens) for tokens in unread)
-    slot_ms = _slot_wait_ms(works, profile.slots, now)
-    memory_ms = _memory_wait_ms(works, profile, demand, parts, now)
-    steps = part / profile.chunk_tokens
-    between = step_ms(profile, beside) * (
-        steps + (profile.stride / 2 if writing else 0)
+    writers = [w for w in works if w.started]
+    reading = [
+        Reading(w.unread_tokens(now), w.whole_tokens) for w in works if not w.started
+    ]
+    beside = Writing(len(writers), sum(w.prompt_tokens for w in writers))
+    part = demand.prompt_tokens / readers
+    ahead_ms = sum(
+        read_ms(profile, r.unread_tokens, r.whole_tokens - r.unread_tokens)
+        for r in reading
     )
-    first_ms = candidate.pace * (ahead + own_read + between) + NETWORK_MS
-    first_ms += max(slot_ms, memory_ms)
-    after = Writing(
-        len(works) + 1,
-        sum(w.prompt_tokens for w in works) + part,
+    own_ms = read_ms(profile, demand.prompt_tokens, parts=readers)
+    steps = part / profile.chunk_tokens + (profile.stride / 2 if writers else 0)
+    first_ms = candidate.pace * (ahead_ms + own_ms + steps * step_ms(profile, beside))
+    first_ms += NETWORK_MS + max(
+        _slot_wait_ms(works, profile.slots, now),
+        _memory_wait_ms(works, profile, demand, readers if reserves else 1, now),
     )
+    after = Writing(len(works) + 1, sum(w.prompt_tokens for w in works) + part)
     end_ms = first_ms + candidate.pace * demand.answer_tokens * step_ms(profile, after)
-    before_ms = candidate.pace * pass_ms(profile, beside, unread)
-    with_ms = candidate.pace * pass_ms(profile, beside, (*unread, part))
+    before_ms = candidate.pace * pass_ms(profile, beside, reading)
+    own_part = Reading(part, float(demand.prompt_tokens))
+    with_ms = candidate.pace * pass_ms(profile, beside, (*reading, own_part))
     harm = sum(
-        _worth(w.prompt_tokens)
+        HARM_WEIGHT
+        * _worth(w.whole_tokens)
         * LATE_LOSS
         * max(
             0.0,
             _risk(with_ms, w.gap_objective_ms) - _risk(before_ms, w.gap_objective_ms),
         )
-        for w in writing
+        for w in writers
         if w.gap_objective_ms
     )
-    own = _risk(first_ms, demand.objective_ms) * demand.worth * LATE_LOSS
-    loss = own + harm + _soft_loss(candidate, demand)
-    return Estimate(first_ms, end_ms, with_ms, loss)
+    own = _own_loss(first_ms, demand) + _soft_loss(candidate, demand)
+    return Estimate(first_ms, end_ms, with_ms, own, harm)
 
 
 def _soft_loss(candidate: Candidate, demand: Demand) -> float:
     across = 0.0 if candidate.near else ACROSS_LOSS
     cold = COLD_LOSS * demand.worth if candidate.cold else 0.0
-    return across + cold + candidate.failing * FAILING_LOSS * demand.worth
+    failing = max(0.0, candidate.failing - FAILING_FROM)
+    return across + cold + failing * FAILING_LOSS * demand.worth
 
 
 def _slot_wait_ms(works: Sequence[Work], slots: int, now: float) -> float:
@@ -278,26 +317,29 @@
 
 
 def choose(
-    candidates: Iterable[Candidate], demand: Demand, now: float, domain: str
+    candidates: Iterable[Candidate], demand: Demand, now: float
 ) -> Placement | None:
     """
-    Return where a request runs best; None when no candidate has room.
+    Return where a request runs best; None when it can't run in time anywhere.
 
     :param candidates: backend servers that may run it.
     :param demand: the request.
     :param now: monotonic time, in seconds.
-    :param domain: failure domain of this node; its nodes share the common order.
     """
-    open_ones = sorted(
-        (c for c in candidates if has_room(c)),
-        key=lambda c: (not c.near, _rank(domain, c.server.backend_id)),
-    )
+    open_ones = [c for c in candidates if has_room(c)]
     if demand.prompt_tokens >= LONG_TOKENS:
-        open_ones.reverse()
+        open_ones.sort(key=lambda c: -_rank(c.server.backend_id))
+    else:
+        open_ones.sort(key=lambda c: (not c.near, _rank(c.server.backend_id)))
     options = itertools.chain(
         _alone(open_ones, demand, now), _together(open_ones, demand, now)
     )
-    return min(options, key=lambda rated: rated[0], default=(0.0, None))[1]
+    in_time = (
+        (cost, placement)
+        for cost, placement in options
+        if placement.estimate.first_ms < demand.patience_ms
+    )
+    return min(in_time, key=lambda rated: rated[0], default=(0.0, None))[1]
 
 
 def _alone(
@@ -321,19 +363,46 @@
         return
     aim_ms = READ_SHARE * demand.objective_ms
     least = readers_for_memory(profile, demand)
-    if least == 1 and read_ms(profile, demand.prompt_tokens) <= aim_ms:
+    reserves = least > 1
+    if not reserves and read_ms(profile, demand.prompt_tokens) <= aim_ms:
         return
-    idle = [c for c in candidates if not c.works and not c.cold]
-    idle.sort(key=lambda c: c.failing)
-    for readers in range(max(2, least), min(MAX_READERS, len(idle)) + 1):
-        first, *helpers = idle[:readers]
-        rated = estimate(first, demand, now, readers)
-        yield rated.loss, Placement(first, tuple(helpers), rated, least > 1)
+    warm = [c for c in candidates if not c.cold]
+    for readers in range(max(2, least), min(MAX_READERS, len(warm)) + 1):
+        yield from _read_by(warm, demand, now, readers, reserves)
         if read_ms(profile, demand.prompt_tokens, parts=readers) <= aim_ms:
             return
 
 
+def _read_by(
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    now: float,
+    readers: int,
+    reserves: bool,
+) -> Iterator[tuple[float, Placement]]:
+    rated = [(estimate(c, demand, now, readers, reserves), c) for c in candidates]
+    # The first token follows the last part: a reader is as good as it is fast.
+    rated.sort(key=lambda pair: pair[0].loss)
+    chosen = rated[:readers]
+    # The one that also writes the answer has the fewest others beside it.
+    chosen.sort(key=lambda pair: len(pair[1].works))
+    first, candidate = chosen[0]
+    first_ms = max(estimate.first_ms for estimate, _ in chosen)
+    if not math.isfinite(first_ms):
+        return
+    whole = Estimate(
+        first_ms=first_ms,
+        end_ms=first_ms + first.end_ms - first.first_ms,
+        pause_ms=first.pause_ms,
+        own=max(estimate.own for estimate, _ in chosen),
+        harm=sum(estimate.harm for estimate, _ in chosen),
+    )
+    helpers = tuple(c for _, c in chosen[1:])
+    cost = whole.loss + READER_LOSS * readers
+    yield cost, Placement(candidate, helpers, whole, reserves)
+
+
 def readers_for_memory(profile: EngineProfile, demand: Demand) -> int:
     """Return how many engines it takes to hold a request's prompt and answer."""
     usable = profile.memory_tokens * MEMORY_SHARE
-    return math.ceil((demand.prompt_tokens + demand.answer_tokens) / usable)
+    return max(1, math.ceil((demand.prompt_tokens + demand.answer_tokens) / usable))
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -85,7 +85,7 @@
     _may_switch: Callable[[], bool]
     _on_first: Callable[[], None]
     _connection: BackendConnection | None = None
-    _switching: bool = False
+    _begun: bool = False
 
     @property
     def server(self) -> BackendServer:
@@ -205,15 +205,15 @@
 
     async def _pass_on(self, head: ReplyHead, events: list[StreamEvent]) -> None:
         run = self._run
-        if not run.events or run.first_s is None:
-            run.first_s = self._state.clock.monotonic()
+        if not self._begun:
+            self._begun = True
             self._on_first()
         if not run.reply.started:
             await run.reply.start(head.status, head.headers)
         for event in events:
             if event.event_id is not None:
                 run.last_event_id = event.event_id
-        run.events += len(events)
+        run.count_events(len(events), self._state.clock.monotonic())
         await run.reply.write(b"".join(e.data for e in events))
 
     async def _relay_whole(self, head: ReplyHead) -> Outcome:
@@ -245,7 +245,10 @@
                     raise _Spoilt(Mishap.WRONG_ANSWER, "a second head")
 
     async def _next(self) -> RawHead | Piece | ReplyEnd:
-        event = await self._within(self._run.patience_s)
+        expected_s = 0.0
+        if not self._begun:
+            expected_s = self._placement.estimate.first_ms / 1_000
+        event = await self._within(self._run.silence_s(expected_s))
         if event is None:
             event = await self._within(None)
         match event:
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -33,8 +33,9 @@
 MAX_SUSPECTS = 8
 
 # Backend server, prompt, answer, gap objective, times from now to the send, the
-# first event and the end, all in milliseconds, and whether it has started.
-PackedWork = tuple[str, int, int, int, int, int, int, bool]
+# first event and the end, all in milliseconds, whether it has started, and the whole
+# prompt.
+PackedWork = tuple[str, int, int, int, int, int, int, bool, int]
 
 
 @attrs.frozen
@@ -53,11 +54,12 @@
         int(1_000 * (work.first_s - now)),
         int(1_000 * (work.end_s - now)),
         work.started,
+        work.whole_tokens,
     )
 
 
 def _unpack(packed: PackedWork, now: float) -> Work:
-    backend_id, prompt, answer, gap, sent, first, end, started = packed
+    backend_id, prompt, answer, gap, sent, first, end, started, whole = packed
     return Work(
         backend_id,
         prompt,
@@ -67,6 +69,7 @@
         now + first / 1_000,
         now + end / 1_000,
         started,
+        whole,
     )
 
 
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -4,7 +4,7 @@
 
 from tanagerkeel.relay import Mishap, ReplyHead
 
-__all__ = ["Answered", "Delivered", "Lost", "NotRun", "NotSent", "Outcome"]
+__all__ = ["Answered", "Delivered", "Lost", "NoMemory", "NotRun", "NotSent", "Outcome"]
 
 
 @attrs.frozen
@@ -31,6 +31,17 @@
     crashed: bool = False
 
 
+@attrs.frozen
+class NoMemory:
+    """
+    An engine did not set memory aside, and nothing was sent.
+
+    :param backend_id: the engine.
+    """
+
+    backend_id: str
+
+
 @attrs.frozen
 class NotRun:
     """
@@ -70,4 +81,4 @@
     reason: str
 
 
-Outcome = Delivered | NotSent | NotRun | Answered | Lost
+Outcome = Delivered | NotSent | NoMemory | NotRun | Answered | Lost
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -72,14 +72,14 @@
 
     async def reserve_all(
         self, wanted: Iterable[Reservation], request_id: str
-    ) -> tuple[Reservation, ...] | None:
+    ) -> tuple[Reservation, ...] | Reservation:
         """
         Set memory aside on several engines, or on none.
 
         Engines are asked in the order of their ids, so that two nodes that want the
         same ones can't hold each other up.
 
-        :returns: what was set aside; None when one of them refused.
+        :returns: what was set aside, or the one that was refused.
         """
         held: list[Reservation] = []
         ordered = sorted(wanted, key=lambda r: r.server.backend_id)
@@ -95,7 +95,7 @@
                         tokens=reservation.tokens,
                     )
                     self.release(held)
-                    return None
+                    return reservation
         except asyncio.CancelledError:
             self.release(held)
             raise
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -15,8 +15,14 @@
 PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4
 PATIENCE_GAPS = 8
-# Share of the caller's patience that one backend server gets; the rest is for another.
-PATIENCE_SHARE = 0.5
+# Share of the caller's patience that one backend server gets; the rest is enough for
+# another one to begin.
+PATIENCE_SHARE = 0.7
+# An engine without memory is asked again after this time, in seconds: a short answer
+# is written in about so long.
+AVOID_S = 0.5
+# An answer that takes so many times as long as expected counts as silence.
+SILENCE_FACTOR = 1.5
 
 
 @attrs.define(eq=False)
@@ -36,6 +42,8 @@
     :param events: events passed on.
     :param first_s: when the first event or the answer was passed on.
     :param placed_s: when a backend server was first chosen.
+    :param last_s: when the last event was passed on.
+    :param longest_gap_s: longest pause between events so far, in seconds.
     """
 
     request: CallerRequest
@@ -44,12 +52,15 @@
     terms: Admitted
     deadline_s: float
     tried: set[str] = attrs.field(factory=set)
+    _avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     sends: int = 0
     unsure: bool = False
     last_event_id: str | None = None
     events: int = 0
     first_s: float | None = None
     placed_s: float | None = None
+    last_s: float | None = None
+    longest_gap_s: float = 0.0
     fingerprint: str = attrs.field()
 
     @fingerprint.default
@@ -61,6 +72,23 @@
             digest.update(b"\0")
         return digest.hexdigest()
 
+    def count_events(self, count: int, now: float) -> None:
+        """Take in that events are passed on."""
+        if self.first_s is None:
+            self.first_s = now
+        if self.last_s is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_s)
+        self.last_s = now
+        self.events += count
+
+    def avoid(self, backend_id: str, now: float) -> None:
+        """Leave a backend server aside that has no memory free."""
+        self._avoided_until_s[backend_id] = now + AVOID_S
+
+    def avoids(self, backend_id: str, now: float) -> bool:
+        """Return whether a backend server is left aside."""
+        return now < self._avoided_until_s.get(backend_id, 0.0)
+
     @property
     def streams(self) -> bool:
         """Whether the answer is a stream of events."""
@@ -83,13 +111,22 @@
 
     @property
     def patience_s(self) -> float:
-        """How long to wait for a backend server's next event, in seconds."""
+        """How long the caller waits for the next event, in seconds."""
         route = self.terms.route
         if not self.streams:
-            return PATIENCE_SHARE * route.timeout_ms / 1_000
+            return route.timeout_ms / 1_000
         objective_s = PATIENCE_OBJECTIVES * route.objective_ms / 1_000
         gap_s = PATIENCE_GAPS * route.gap_objective_ms / 1_000
-        return PATIENCE_SHARE * max(PATIENCE_S, objective_s, gap_s)
+        return max(PATIENCE_S, objective_s, gap_s)
+
+    def silence_s(self, expected_s: float) -> float:
+        """
+        Return how long a backend server may be silent before another one is asked.
+
+        :param expected_s: when the next event is expected, in seconds.
+        """
+        share_s = PATIENCE_SHARE * self.patience_s
+        return max(share_s, min(SILENCE_FACTOR * expected_s, self.patience_s))
 
     def demand(self, now: float, usual_ms: float) -> Demand:
         """
@@ -111,9 +148,15 @@
             answer_tokens=answer,
             objective_ms=max(0.0, 1_000 * (due_s - now)),
             gap_objective_ms=float(self.terms.route.gap_objective_ms),
+            patience_ms=max(0.0, 1_000 * (self._first_due_s - now)),
             usual_ms=usual_ms,
         )
 
+    @property
+    def _first_due_s(self) -> float:
+        since_s = self.request.arrived_s if self.last_s is None else self.last_s
+        return min(self.deadline_s, since_s + self.patience_s)
+
     def timeout_code(self) -> ResultCode:
         """Return what is answered when its time is over."""
         if self.unsure:
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -28,6 +28,7 @@
     Answered,
     Delivered,
     Lost,
+    NoMemory,
     NotRun,
     NotSent,
     Outcome,
@@ -151,6 +152,9 @@
                     if unsent > MAX_UNSENT:
                         await self._give_up(run, ResultCode.NO_BACKEND, outcome.reason)
                         return
+                case NoMemory():
+                    # Placed again, without the engine that refused.
+                    continue
                 case NotRun() | Answered() | Lost():
                     if not self._again(run, outcome):
                         await self._final(run, outcome)
@@ -207,9 +211,7 @@
                 raise TimeoutError
             candidates = list(self._candidates(run, now))
             demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
-            placement = choose(
-                candidates, demand, now, self._state.settings.failure_domain
-            )
+            placement = choose(candidates, demand, now)
             if placement is not None:
                 self._placed(run, placement, len(candidates), now)
                 return placement
@@ -242,6 +244,7 @@
             belief
             for belief in self._state.backends.usable(run.terms.service.name)
             if belief.server.backend_id not in run.tried
+            and not run.avoids(belief.server.backend_id, now)
             and self._state.quarantine.allows(run.fingerprint, belief.server.backend_id)
             and self._warm_enough(run, belief, now)
         ]
@@ -278,12 +281,14 @@
             run.placed_s = now
             wait_s = now - run.request.arrived_s
             self._metrics.wait.labels(run.terms.route.name).observe(wait_s)
+        asked = run.request.demand
         log(
             LogEvent.RELAY_PLACED,
             request=run.request.request_id,
             route=run.terms.route.name,
             version=run.terms.version,
             account=run.terms.account.name if run.terms.account else None,
+            prompt_tokens=asked.prompt_tokens if asked else None,
             backend=placement.candidate.server.backend_id,
             helpers=[h.server.backend_id for h in placement.helpers],
             candidates=candidates,
@@ -323,8 +328,9 @@
             for place, h in enumerate(placement.helpers)
         )
         held = await self._reservations.reserve_all(wanted, request_id)
-        if held is None:
-            return NotSent("an engine did not set memory aside")
+        if isinstance(held, Reservation):
+            run.avoid(held.server.backend_id, self._state.clock.monotonic())
+            return NoMemory(held.server.backend_id)
         keeping = asyncio.create_task(self._reservations.keep(held))
         try:
             helpers = tuple(Helper(r.server.address, r.reservation_id) for r in held)
@@ -405,6 +411,7 @@
                 sent_s=now,
                 first_s=first_s,
                 end_s=end_s,
+                whole_tokens=demand.prompt_tokens,
             )
             for place, reader in enumerate(readers)
         )
@@ -521,6 +528,9 @@
             events=run.events,
             sends=run.sends,
             first_ms=round(1_000 * first_s, 1),
+            objective_ms=run.terms.route.objective_ms,
+            gap_ms=round(1_000 * run.longest_gap_s, 1),
+            gap_objective_ms=run.terms.route.gap_objective_ms,
             took_ms=round(1_000 * took_s, 1),
         )
 
