Take a removed entry for gone at once after a start

The node had just started; its first contact with the platform counted as the end of an outage, so the removed entry was kept for two seconds, and was dropped only when the next watch returned. Change: an outage begins only with a failed call, and what stays missing two seconds after its end is unusable whether or not a call has returned.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -19,7 +19,7 @@
     WeightedService,
 )
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
-from tanagerkeel.relay._ledger import Ledger, Work
+from tanagerkeel.relay._ledger import PEER_SILENCE_S, Ledger, Work
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
 from tanagerkeel.relay._pass_model import (
     Reading,
@@ -40,6 +40,7 @@
 from tanagerkeel.relay._retry_shares import RetryShare
 
 __all__ = [
+    "PEER_SILENCE_S",
     "BackendServer",
     "BackendTable",
     "Belief",
--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -22,6 +22,9 @@
 PACE_WEIGHT = 0.25
 # A pace this far above that of its peers makes a backend server slow.
 MAX_PACE = 20.0
+# How long a peer's word that nothing listens at an address holds, in seconds, unless
+# this node has had an answer from there in the same time.
+TOLD_S = 1.0
 
 
 class ServerState(enum.StrEnum):
@@ -90,6 +93,8 @@
     :param failures: failures in a row.
     :param failure_share: moving share of sends that failed.
     :param outcome_s: when the last send ended.
+    :param success_s: when the last send went well.
+    :param refused_s: when nothing listened at its address, or another one did.
     :param pace: moving ratio of measured to expected time; 1 is as expected.
     """
 
@@ -102,6 +107,8 @@
     failures: int = 0
     failure_share: float = 0.0
     outcome_s: float = 0.0
+    success_s: float = float("-inf")
+    refused_s: float = float("-inf")
     pace: float = 1.0
 
     def cold(self, now: float) -> bool:
@@ -126,7 +133,7 @@
 
     _beliefs: dict[str, Belief] = attrs.field(factory=dict)
     _domains_out: set[str] = attrs.field(factory=set)
-    _away: bool = True
+    _away: bool = False
     _back_s: float = float("-inf")
 
     def __len__(self) -> int:
@@ -190,8 +197,7 @@
         known = self._beliefs.get(backend_id)
         if known is None:
             return False
-        held_back = self._away or now < self._back_s + REAPPEAR_S
-        if held_back and known.server.state is ServerState.READY:
+        if self._may_reappear(now) and known.server.state is ServerState.READY:
             known.missing_s = now if known.missing_s is None else known.missing_s
             return False
         del self._beliefs[backend_id]
@@ -205,7 +211,7 @@
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop what stayed missing after an outage; return what was dropped."""
-        if self._away or now < self._back_s + REAPPEAR_S:
+        if self._may_reappear(now):
             return ()
         gone = tuple(n for n, b in self._beliefs.items() if b.missing_s is not None)
         for name in gone:
@@ -225,14 +231,16 @@
             if belief.server.failure_domain == domain:
                 belief.cold_until_s = max(belief.cold_until_s, cold_until_s)
 
-    def usable(self, service: str) -> Iterator[Belief]:
+    def usable(self, service: str, now: float) -> Iterator[Belief]:
         """Yield the backend servers of a service that new work may go to."""
+        may_reappear = self._may_reappear(now)
         return (
             belief
             for belief in self._beliefs.values()
             if belief.server.service == service
             and belief.server.state is ServerState.READY
             and belief.server.failure_domain not in self._domains_out
+            and (belief.missing_s is None or may_reappear)
         )
 
     def failed(self, server: BackendServer, mishap: Mishap, now: float) -> None:
@@ -249,6 +257,7 @@
             case Mishap.MISDIRECTED:
                 # Another one has its address: the entry names nothing any more.
                 belief.shunned_until_s = float("inf")
+                belief.refused_s = now
             case Mishap.BROKEN | Mishap.WRONG_ANSWER | Mishap.ERROR | Mishap.SHED:
                 belief.failures += 1
 
@@ -265,17 +274,39 @@
             return
         self._count(belief, 0.0, now)
         belief.failures = 0
+        belief.success_s = now
         belief.shunned_until_s = min(belief.shunned_until_s, now)
         if pace is not None:
             sample = min(MAX_PACE, max(1.0 / MAX_PACE, pace))
             belief.pace += PACE_WEIGHT * (sample - belief.pace)
 
+    def refused(self, server: BackendServer, now: float) -> None:
+        """Take in that nothing listens at a backend server's address."""
+        belief = self._beliefs.get(server.backend_id)
+        if belief is not None and belief.server.same_life(server):
+            belief.refused_s = now
+
+    def refusing(self, now: float) -> tuple[str, ...]:
+        """Return the backend servers that this node just found gone."""
+        return tuple(
+            name for name, b in self._beliefs.items() if now - b.refused_s <= TOLD_S
+        )
+
+    def told_gone(self, backend_id: str, now: float) -> None:
+        """Take in a peer's word that nothing listens at an address."""
+        belief = self._beliefs.get(backend_id)
+        if belief is not None and now - belief.success_s > TOLD_S:
+            belief.shunned_until_s = max(belief.shunned_until_s, now + TOLD_S)
+
     def turned_cold(self, server: BackendServer, until_s: float) -> None:
         """Take in a backend server's word that it is cold."""
         belief = self._beliefs.get(server.backend_id)
         if belief is not None and belief.server.same_life(server):
             belief.cold_until_s = max(belief.cold_until_s, until_s)
 
+    def _may_reappear(self, now: float) -> bool:
+        return self._away or now < self._back_s + REAPPEAR_S
+
     def _count(self, belief: Belief, failed: float, now: float) -> None:
         share = belief.failing(now)
         belief.failure_share = share + OUTCOME_WEIGHT * (failed - share)
--- a/src/tanagerkeel/relay/_ledger.py
+++ b/src/tanagerkeel/relay/_ledger.py
@@ -4,11 +4,14 @@
 
 import attrs
 
-__all__ = ["Ledger", "Work"]
+__all__ = ["PEER_SILENCE_S", "Ledger", "Work"]
 
 # News of a peer that is silent for longer counts no more, in seconds. Peers repeat
 # their state several times in this time, so that one lost datagram does no harm.
-PEER_SILENCE_S = 2.0
+PEER_SILENCE_S = 5.0
+# Work of a peer that should have ended so long ago, in seconds, has ended: the word
+# of it was lost, or its node has died.
+OVERDUE_S = 1.5
 # Share of a prompt that counts as unread until its first event is seen, however late.
 LEAST_LEFT = 0.1
 
@@ -113,7 +116,7 @@
     def _all(self, now: float) -> Iterator[Work]:
         yield from self._own.values()
         for news in self._current(now):
-            yield from news.works
+            yield from (w for w in news.works if now < w.end_s + OVERDUE_S)
 
     def _current(self, now: float) -> Iterator[_PeerNews]:
         return (n for n in self._peers.values() if now - n.heard_s <= PEER_SILENCE_S)
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -55,6 +55,14 @@
 QUEUE_AHEAD = 2
 # Loss that the place in the common order counts for; small beside any real loss.
 ORDER_LOSS = 0.02
+# One in so many engines shares a place in the order, and chance decides between
+# them: nodes that place at the same moment would all take the same one.
+ENGINES_PER_CHOICE = 15
+# The same for long prompts, which take several engines at once, is wider.
+LONG_CHOICES = 3
+# Share of its worth that a request stands to lose on an engine's last slot: another
+# node may be giving it away at the same moment.
+LAST_SLOT_LOSS = 0.1
 # Loss of a send to another failure domain.
 ACROSS_LOSS = 0.01
 # Loss of a backend server that fails every send, in units of the request's worth.
@@ -162,12 +170,19 @@
     :param estimate: what is expected.
     :param reserves: whether the helpers also hold their parts of the prompt, for
         which memory must be set aside.
+    :param long: whether it stretches the passes of its engine.
     """
 
     candidate: Candidate
     helpers: tuple[Candidate, ...]
     estimate: Estimate
     reserves: bool = False
+    long: bool = False
+
+    @property
+    def wide(self) -> bool:
+        """Whether it concerns the nodes of other failure domains."""
+        return bool(self.helpers) or not self.candidate.near or self.long
 
     @property
     def readers(self) -> tuple[Candidate, ...]:
@@ -186,8 +201,8 @@
     return min(1.0, max(0.0, (share - RISK_FROM) / (RISK_TO - RISK_FROM)))
 
 
-def _rank(backend_id: str) -> int:
-    return xxhash.xxh32_intdigest(backend_id.encode())
+def _rank(backend_id: str, salt: str = "") -> int:
+    return xxhash.xxh32_intdigest(f"{backend_id}{salt}".encode())
 
 
 def _own_loss(first_ms: float, demand: Demand) -> float:
@@ -272,6 +287,8 @@
         if w.gap_objective_ms
     )
     own = _own_loss(first_ms, demand) + _soft_loss(candidate, demand)
+    if len(works) + 1 == profile.slots:
+        own += LAST_SLOT_LOSS * demand.worth
     return Estimate(first_ms, end_ms, with_ms, own, harm)
 
 
@@ -317,7 +334,7 @@
 
 
 def choose(
-    candidates: Iterable[Candidate], demand: Demand, now: float
+    candidates: Iterable[Candidate], demand: Demand, now: float, salt: str = ""
 ) -> Placement | None:
     """
     Return where a request runs best; None when it can't run in time anywhere.
@@ -325,12 +342,9 @@
     :param candidates: backend servers that may run it.
     :param demand: the request.
     :param now: monotonic time, in seconds.
+    :param salt: differs between requests; decides between equal candidates.
     """
-    open_ones = [c for c in candidates if has_room(c)]
-    if demand.prompt_tokens >= LONG_TOKENS:
-        open_ones.sort(key=lambda c: -_rank(c.server.backend_id))
-    else:
-        open_ones.sort(key=lambda c: (not c.near, _rank(c.server.backend_id)))
+    open_ones = _ordered([c for c in candidates if has_room(c)], demand, salt)
     options = itertools.chain(
         _alone(open_ones, demand, now), _together(open_ones, demand, now)
     )
@@ -342,15 +356,36 @@
     return min(in_time, key=lambda rated: rated[0], default=(0.0, None))[1]
 
 
+def _ordered(candidates: list[Candidate], demand: Demand, salt: str) -> list[Candidate]:
+    if demand.prompt_tokens >= LONG_TOKENS:
+        candidates.sort(key=lambda c: -_rank(c.server.backend_id))
+    else:
+        candidates.sort(key=lambda c: (not c.near, _rank(c.server.backend_id)))
+    choices = _choices(candidates, demand)
+    for begin in range(0, len(candidates), choices):
+        among = candidates[begin : begin + choices]
+        among.sort(key=lambda c: _rank(c.server.backend_id, salt))
+        candidates[begin : begin + choices] = among
+    return candidates
+
+
+def _choices(candidates: Sequence[Candidate], demand: Demand) -> int:
+    choices = 1 + len(candidates) // ENGINES_PER_CHOICE
+    return choices * LONG_CHOICES if demand.prompt_tokens >= LONG_TOKENS else choices
+
+
 def _alone(
     candidates: Sequence[Candidate], demand: Demand, now: float
 ) -> Iterator[tuple[float, Placement]]:
-    last = max(1, len(candidates) - 1)
-    for place, candidate in enumerate(candidates):
+    choices = _choices(candidates, demand)
+    last = max(1, (len(candidates) - 1) // choices)
+    long = demand.prompt_tokens >= LONG_TOKENS
+    for number, candidate in enumerate(candidates):
+        place = number // choices
         rated = estimate(candidate, demand, now)
         if math.isfinite(rated.first_ms):
             cost = rated.loss + ORDER_LOSS * place / last
-            yield cost, Placement(candidate, (), rated)
+            yield cost, Placement(candidate, (), rated, long=long)
 
 
 def _together(
@@ -399,7 +434,7 @@
     )
     helpers = tuple(c for _, c in chosen[1:])
     cost = whole.loss + READER_LOSS * readers
-    yield cost, Placement(candidate, helpers, whole, reserves)
+    yield cost, Placement(candidate, helpers, whole, reserves, long=True)
 
 
 def readers_for_memory(profile: EngineProfile, demand: Demand) -> int:
--- a/src/tanagerkeel/relay/_retry_shares.py
+++ b/src/tanagerkeel/relay/_retry_shares.py
@@ -1,20 +1,23 @@
 """
-How much of the retries that all nodes may make together this node may make.
+How many of the retries that all nodes may make together this node may make.
 
-Load pattern: many requests fail at once, on every node. The bound holds over all
-nodes, which don't ask each other, so each keeps to a share of it: a part of what its
-own callers sent, and an equal part of the fixed extra.
+Load pattern: many requests fail at once, on a few nodes or on all. The bound holds
+over all nodes and has a part for each request and a fixed extra. The first part stays
+with the node whose callers sent the requests. Of the extra each node tells what it
+has used, so that a few nodes may use most of it; a node that isn't heard counts with
+an equal part of it, and a node always has its own equal part.
 """
 
 import collections
-import math
+from collections.abc import Mapping
 
 import attrs
 
 __all__ = ["RetryShare"]
 
-# Share of the bound that is used: nodes may differ in how many they believe to live.
-MARGIN = 0.7
+# Share of the bound that is used: the word of other nodes' retries is on its way for
+# some milliseconds, and nodes may differ in how many they believe to live.
+MARGIN = 0.6
 
 
 @attrs.define
@@ -38,21 +41,33 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, now: float, nodes: int) -> bool:
+    def used_extra(self, now: float) -> int:
+        """Return how much of the extra this node has used in the window."""
+        self._expire(now)
+        return max(0, len(self._repeats) - int(self._own_part()))
+
+    def take(self, now: float, nodes: int, heard: Mapping[str, int]) -> bool:
         """
         Count a send beyond a request's first, if one is left.
 
         :param now: monotonic time, in seconds.
-        :param nodes: nodes that share the extra.
+        :param nodes: nodes that may send, this one included.
+        :param heard: what other nodes lately said that they used of the extra.
         """
         self._expire(now)
-        fixed = math.floor(MARGIN * self._extra / max(1, nodes))
-        allowed = MARGIN * self._ratio * len(self._requests) + max(1, fixed)
+        extra = MARGIN * self._extra
+        equal = extra / max(1, nodes)
+        silent = max(0, nodes - 1 - len(heard))
+        left = extra - sum(heard.values()) - silent * equal
+        allowed = self._own_part() + max(1.0, equal, left)
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
         return True
 
+    def _own_part(self) -> float:
+        return MARGIN * self._ratio * len(self._requests)
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window_s:
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -135,7 +135,10 @@
             if head.not_run or head.status == MISDIRECTED_STATUS:
                 await self._rest()
                 self._learn(head)
-                return NotRun(f"status {head.status}", head.at_fault)
+                misdirected = (
+                    head.status == MISDIRECTED_STATUS and head.at_fault is None
+                )
+                return NotRun(f"status {head.status}", head.at_fault, misdirected)
             if self._run.streams and head.success:
                 return await self._relay_events(head)
             return await self._relay_whole(head)
@@ -160,10 +163,6 @@
             raise _Spoilt(Mishap.WRONG_ANSWER, "a success without a seal")
 
     def _learn(self, head: ReplyHead) -> None:
-        if head.status == MISDIRECTED_STATUS and head.at_fault is None:
-            self._state.failed(
-                self.server, Mishap.MISDIRECTED, self._run.request.request_id
-            )
         if head.cold_ms:
             until_s = self._state.clock.monotonic() + head.cold_ms / 1_000
             self._state.backends.turned_cold(self.server, until_s)
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import attrs
 
@@ -14,6 +15,7 @@
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.peers import Frame, FrameRejected, open_frame, seal_frame
 from tanagerkeel.relay import Work
+from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import PresenceTask
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.requests import QuarantineEntry
@@ -23,14 +25,24 @@
 NEWS_KIND = 1
 # The same datagram goes to all peers; its sequence number tells a replay.
 EVERY_PEER = "*"
-# Changes within this time travel together, in seconds.
-COALESCE_S = 0.01
-# A node tells its state so often also when nothing changed, in seconds: several
-# times before peers take it for silent.
-REPEAT_S = 0.5
+# Work that begins is told after this time, in seconds; what begins within it travels
+# in the same message.
+BEGUN_S = 0.002
+# Work that goes on or ends as expected is told later, in seconds: peers have the
+# estimate, and a busy node's next message takes it along.
+SETTLED_S = 0.5
+# A node tells its state to all so often while it runs anything, in seconds; peers
+# take it for silent after more than twice that time.
+REPEAT_S = 2.0
+# The same for a node that runs nothing.
+IDLE_REPEAT_S = 4.0
+# Up to so many peers all of them are told of everything at once. Beyond it, short
+# work on engines of the node's own failure domain is told there first.
+SMALL_FLEET = 16
 # A datagram with more would not fit into a usual network's packets.
 MAX_WORKS = 64
 MAX_SUSPECTS = 8
+MAX_GONE = 32
 
 # Backend server, prompt, answer, gap objective, times from now to the send, the
 # first event and the end, all in milliseconds, whether it has started, and the whole
@@ -42,6 +54,10 @@
 class _News:
     works: tuple[PackedWork, ...]
     suspects: tuple[QuarantineEntry, ...] = ()
+    # Retries beyond the sender's own part, by service.
+    retries: dict[str, int] = attrs.field(factory=dict)
+    # Backend servers at whose address the sender found nothing, or another one.
+    gone: tuple[str, ...] = ()
 
 
 def _pack(work: Work, now: float) -> PackedWork:
@@ -89,7 +105,8 @@
     _transport: asyncio.DatagramTransport | None = None
     _session: int = 0
     _sequence: int = 0
-    _due: asyncio.TimerHandle | None = None
+    _near_due: asyncio.TimerHandle | None = None
+    _all_due: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Bind the node's address and begin to tell its state."""
@@ -98,23 +115,34 @@
         self._session = int(self._state.clock.wall() * 1_000)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
-        self._arm(REPEAT_S * self._random.random())
-        self._state.quarantine.notify(self.changed)
+        self._all_due = loop.call_later(
+            REPEAT_S * self._random.random(), self._tell_all
+        )
+        self._state.quarantine.notify(self.urgent)
 
     def stop(self) -> None:
         """Tell that nothing runs any more, and close."""
-        if self._due is not None:
-            self._due.cancel()
+        self._cancel()
         if self._transport is not None:
-            self._send()
+            self._send(self._state.peers.others)
             self._transport.close()
             self._transport = None
 
-    def changed(self) -> None:
-        """Tell the peers soon."""
-        loop = asyncio.get_running_loop()
-        if self._due is None or self._due.when() > loop.time() + COALESCE_S:
-            self._arm(COALESCE_S)
+    def begun(self, wide: bool) -> None:
+        """
+        Tell soon that work began.
+
+        :param wide: whether it concerns the nodes of other failure domains.
+        """
+        self._soon(BEGUN_S, wide)
+
+    def settled(self, wide: bool) -> None:
+        """Tell that work goes on or has ended; soon if it is ``wide``."""
+        self._soon(BEGUN_S if wide else SETTLED_S, wide)
+
+    def urgent(self) -> None:
+        """Tell all peers soon of a retry, a suspect or a backend server gone."""
+        self._soon(BEGUN_S, True)
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Take in that the address is bound."""
@@ -142,31 +170,61 @@
             (_unpack(work, now) for work in news.works),
             now,
         )
+        self._state.heard_retries(frame.sender, news.retries)
         for entry in news.suspects:
             self._state.quarantine.learn(entry, now)
+        for backend_id in news.gone:
+            self._state.backends.told_gone(backend_id, now)
         self._state.changed()
 
     def error_received(self, error: OSError) -> None:
         """Take in that a peer's port is closed: its key in the store decides."""
 
-    def _arm(self, delay_s: float) -> None:
-        if self._due is not None:
-            self._due.cancel()
-        self._due = asyncio.get_running_loop().call_later(delay_s, self._tick)
-
-    def _tick(self) -> None:
-        self._due = None
-        self._send()
-        self._arm(REPEAT_S)
+    def _soon(self, delay_s: float, wide: bool) -> None:
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_s
+        if wide or len(self._state.peers.others) <= SMALL_FLEET:
+            if self._all_due is None or self._all_due.when() > due_s:
+                self._cancel()
+                self._all_due = loop.call_later(delay_s, self._tell_all)
+            return
+        if self._near_due is None or self._near_due.when() > due_s:
+            if self._near_due is not None:
+                self._near_due.cancel()
+            self._near_due = loop.call_later(delay_s, self._tell_near)
+
+    def _cancel(self) -> None:
+        for due in (self._near_due, self._all_due):
+            if due is not None:
+                due.cancel()
+        self._near_due = self._all_due = None
+
+    def _tell_near(self) -> None:
+        self._near_due = None
+        home = self._state.settings.failure_domain
+        others = self._state.peers.others
+        self._send([p for p in others if p.failure_domain == home])
+
+    def _tell_all(self) -> None:
+        self._cancel()
+        self._send(self._state.peers.others)
+        pause_s = REPEAT_S if self._state.ledger.own else IDLE_REPEAT_S
+        loop = asyncio.get_running_loop()
+        self._all_due = loop.call_later(pause_s, self._tell_all)
 
-    def _send(self) -> None:
+    def _send(self, peers: Sequence[Peer]) -> None:
         keys = self._presence.keys
-        peers = self._state.peers.others
         if keys is None or not peers or self._transport is None:
             return
         now = self._state.clock.monotonic()
         works = tuple(_pack(w, now) for w in self._state.ledger.own[:MAX_WORKS])
         suspects = self._state.quarantine.take_news(now)[:MAX_SUSPECTS]
+        news = _News(
+            works,
+            suspects,
+            self._state.used_retries(),
+            self._state.backends.refusing(now)[:MAX_GONE],
+        )
         self._sequence += 1
         frame = Frame(
             sender=self._state.settings.node_id,
@@ -174,7 +232,7 @@
             to_session=0,
             sequence=self._sequence,
             kind=NEWS_KIND,
-            payload=codec.pack_compact(_News(works, suspects)),
+            payload=codec.pack_compact(news),
         )
         data = seal_frame(frame, EVERY_PEER, keys)
         for peer in peers:
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -49,10 +49,12 @@
 
     :param reason: what it said.
     :param at_fault: address of the backend server that it blames; None for itself.
+    :param misdirected: whether it isn't the backend server that was meant.
     """
 
     reason: str
     at_fault: str | None = None
+    misdirected: bool = False
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -46,7 +46,7 @@
 LOOK_AGAIN_S = 0.05
 # Connections that come up fail at once when a process has died: so many backend
 # servers may be tried without having sent anything.
-MAX_UNSENT = 4
+MAX_UNSENT = 8
 # How long a broken send still counts as running for the blame of a death that is
 # found out later, in seconds.
 BLAME_S = 2.0
@@ -175,11 +175,10 @@
     def _take_repeat(self, run: RelayRun) -> bool:
         if run.sends_left <= 0:
             return False
-        now = self._state.clock.monotonic()
-        nodes = len(self._state.peers.sharing(now))
-        if not self._state.retry_share(run.terms.service.name).take(now, nodes):
+        if not self._state.take_retry(run.terms.service.name):
             return False
         self._metrics.repeats.inc()
+        self._news.urgent()
         return True
 
     async def _final(self, run: RelayRun, outcome: Outcome) -> None:
@@ -211,7 +210,7 @@
                 raise TimeoutError
             candidates = list(self._candidates(run, now))
             demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
-            placement = choose(candidates, demand, now)
+            placement = choose(candidates, demand, now, run.request.request_id)
             if placement is not None:
                 self._placed(run, placement, len(candidates), now)
                 return placement
@@ -242,7 +241,7 @@
         works = self._state.ledger.by_backend(now)
         usable = [
             belief
-            for belief in self._state.backends.usable(run.terms.service.name)
+            for belief in self._state.backends.usable(run.terms.service.name, now)
             if belief.server.backend_id not in run.tried
             and not run.avoids(belief.server.backend_id, now)
             and self._state.quarantine.allows(run.fingerprint, belief.server.backend_id)
@@ -306,7 +305,7 @@
         works = self._works(run, placement, self._state.clock.monotonic())
         for work in works:
             self._state.ledger.add(work)
-        self._news.changed()
+        self._news.begun(placement.wide)
         try:
             if placement.reserves:
                 return await self._send_with_memory(run, placement, works)
@@ -315,7 +314,7 @@
         finally:
             for work in works:
                 self._state.ledger.discard(work)
-            self._news.changed()
+            self._news.settled(placement.wide)
             self._state.changed()
 
     async def _send_with_memory(
@@ -384,6 +383,9 @@
                     run.unsure = before
                 case NotRun():
                     run.unsure = before
+                    if outcome.misdirected:
+                        # It never reached the backend server that it was sent to.
+                        run.sends -= 1
                 case Lost():
                     blame_s = BLAME_S
             self._judge(run, placement, outcome)
@@ -443,7 +445,8 @@
         self._metrics.first.labels(run.terms.route.name).observe(
             now - run.request.arrived_s
         )
-        self._news.changed()
+        if placement.wide:
+            self._news.settled(True)
 
     def _judge(self, run: RelayRun, placement: Placement, outcome: Outcome) -> None:
         server = placement.candidate.server
@@ -457,6 +460,10 @@
                 mishap = Mishap.UNREACHABLE
                 if outcome.crashed:
                     self._crashed(server)
+                    self._news.urgent()
+            case NotRun(misdirected=True):
+                mishap = Mishap.MISDIRECTED
+                self._news.urgent()
             case NotRun():
                 mishap = Mishap.SHED
                 server = self._at_fault(placement, outcome)
@@ -504,6 +511,7 @@
 
     def _crashed(self, server: BackendServer) -> None:
         now = self._state.clock.monotonic()
+        self._state.backends.refused(server, now)
         quarantine = self._state.quarantine
         for fingerprint in quarantine.died(server.backend_id, now, str(server.born_ms)):
             log(
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -8,6 +8,7 @@
 from tanagerkeel.clock import Clock
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.relay import (
+    PEER_SILENCE_S,
     BackendServer,
     BackendTable,
     CallerLimits,
@@ -71,6 +72,8 @@
     cold_shares: ColdShares = attrs.field()
     _retry_shares: dict[str, RetryShare] = attrs.field(factory=dict)
     _usual_ms: dict[str, float] = attrs.field(factory=dict)
+    # When each peer told of its retries, and how many of each service.
+    _heard_retries: dict[str, tuple[float, dict[str, int]]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @peers.default
@@ -114,6 +117,27 @@
             # Time has passed, which changes the estimates.
             return
 
+    def take_retry(self, service: str) -> bool:
+        """Count a send beyond a request's first, if the shared bound leaves one."""
+        now = self.clock.monotonic()
+        nodes = self.peers.sharing(now)
+        heard = {
+            node: retries.get(service, 0)
+            for node, (heard_s, retries) in self._heard_retries.items()
+            if now - heard_s <= PEER_SILENCE_S and node in nodes
+        }
+        return self.retry_share(service).take(now, len(nodes), heard)
+
+    def heard_retries(self, node: str, retries: dict[str, int]) -> None:
+        """Take in what a peer has used of the shared extra."""
+        self._heard_retries[node] = (self.clock.monotonic(), retries)
+
+    def used_retries(self) -> dict[str, int]:
+        """Return what this node has used of the shared extra, by service."""
+        now = self.clock.monotonic()
+        used = {name: s.used_extra(now) for name, s in self._retry_shares.items()}
+        return {name: count for name, count in used.items() if count}
+
     def retry_share(self, service: str) -> RetryShare:
         """Return this node's share of a service's retries."""
         share = self._retry_shares.get(service)
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -28,8 +28,12 @@
 # Everything: the operators' keys, the backend servers' and the nodes' own.
 ALL_KEYS = ""
 # A watch confirms the configuration when it ends, and keys may be used only while
-# that is young: a fifth of the usual bound on revoked keys.
-WATCH_MS = 1_000
+# that is young: less than half of the usual bound on revoked keys, so that an outage
+# leaves more than half of it. Each call has its price.
+WATCH_MS = 2_200
+# After a change so much of the bound on backend servers that leave passes until the
+# next call, so that changes in quick succession cost one call together.
+GATHER_SHARE = 0.3
 # First and longest bound of the pause after a failed call, in seconds. The platform
 # counts refused calls too; a configuration must be in force two seconds after.
 RETRY_BASE_S = 0.1
@@ -54,12 +58,19 @@
     _revision: int | None = None
     _failures: int = 0
     _reachable: bool = False
+    _gather: bool = False
+
+    @property
+    def _gather_s(self) -> float:
+        return GATHER_SHARE * self._state.settings.bounds.drain_ms / 1_000
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
             try:
                 await self.step()
+                if self._gather:
+                    await self._state.clock.sleep(self._gather_s)
             except PlatformUnavailable as error:
                 self._lost(error)
                 await self._state.clock.sleep(
@@ -96,6 +107,7 @@
             self._take_event(event, changes.revision)
         self._revision = changes.revision
         waited_s = self._state.clock.boottime() - asked_s
+        self._gather = bool(changes.events)
         if changes.events or waited_s < WATCH_MS / 1_000:
             return 0.0
         # The store had nothing new until the wait that it was asked for was over.
--- a/tests/platform/test_rules_fleet.py
+++ b/tests/platform/test_rules_fleet.py
@@ -126,7 +126,7 @@
         leaving = relay.engines[0].entry("booking", state="draining")
         relay.store.write("servers/i-0", leaving)
         await relay.until(
-            lambda: len(list(relay.node.state.backends.usable("booking"))) == 1
+            lambda: len(list(relay.node.state.backends.usable("booking", 0.0))) == 1
         )
         for n in range(5):
             assert (await relay.call("/lookup/x", request_id=f"r{n}")).body == b"i-1"
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -159,6 +159,32 @@
     return Work(backend_id, tokens, 688, 1_000.0, now, now + 2.0, now + 3.0)
 
 
+def test_nodes_that_place_at_the_same_moment_spread_over_equal_engines():
+    # Sixty engines and two nodes that don't know of each other's send yet, as on
+    # the larger deployments: they may meet, but not as a rule.
+    many = [Candidate(_server(n), PROFILE) for n in range(60)]
+    for demand in (CHAT, PETITION):
+        pairs = [
+            (choose(many, demand, 0.0, f"a{n}"), choose(many, demand, 0.0, f"b{n}"))
+            for n in range(200)
+        ]
+        met = sum(a.candidate is b.candidate for a, b in pairs)
+        assert met < 0.3 * len(pairs)
+
+
+def test_an_engines_last_slot_is_left_while_another_has_two():
+    def writing(count):
+        return [
+            Work("e0", 5_000, 1_376, 250.0, -1.0, -0.9, 1.0, started=True)
+            for _ in range(count)
+        ]
+
+    one_left = Candidate(SERVERS[0], PROFILE, writing(7))
+    free = Candidate(SERVERS[1], PROFILE, near=False)
+    assert choose([one_left, free], CHAT, 0.0).candidate is free
+    assert choose([one_left], CHAT, 0.0).candidate is one_left
+
+
 def test_an_engine_that_reads_a_long_prompt_is_no_place_for_a_chat():
     one = Candidate(SERVERS[0], PROFILE, [_reading("e0")])
     free = Candidate(SERVERS[1], PROFILE)
