Start a relaying node without what it doesn't use

Cause: after a loss of power every node's imports are time without service; a node loaded pynng, the chat interface and the operators' configuration through packages of which it needs one function each.

--- a/src/tanagerkeel/admission/__init__.py
+++ b/src/tanagerkeel/admission/__init__.py
@@ -3,7 +3,7 @@
 from tanagerkeel.admission._admission import Admission, AdmissionRequest, Ticket
 from tanagerkeel.admission._fair_queue import FairQueue, Waiting
 from tanagerkeel.admission._rates import RateMeter
-from tanagerkeel.admission._retries import RetryBudget, full_jitter_s
+from tanagerkeel.admission._retries import RetryBudget
 from tanagerkeel.admission._room import Lane, OpenRoom, Room
 from tanagerkeel.admission._usage import AccountUsage, UsageBook
 
@@ -20,5 +20,4 @@
     "Ticket",
     "UsageBook",
     "Waiting",
-    "full_jitter_s",
 ]
--- a/src/tanagerkeel/entry/_claims_task.py
+++ b/src/tanagerkeel/entry/_claims_task.py
@@ -27,7 +27,8 @@
 from tanagerkeel.entry._claim_writer import ClaimWriter, PlatformState
 from tanagerkeel.gateways.peers import PeerBus, PeerUnreachable, Received
 from tanagerkeel.gateways.platform import PlatformGateway
-from tanagerkeel.membership import MembershipHolder, NodeInfo, rendezvous
+from tanagerkeel.membership import MembershipHolder, NodeInfo
+from tanagerkeel.rendezvous import rendezvous
 
 __all__ = ["Claims"]
 
--- a/src/tanagerkeel/entry/_context.py
+++ b/src/tanagerkeel/entry/_context.py
@@ -18,7 +18,7 @@
 from tanagerkeel.gateways.platform import PlatformGateway
 from tanagerkeel.gateways.services import ServiceGateway
 from tanagerkeel.membership import MembershipHolder
-from tanagerkeel.requests import Quarantine
+from tanagerkeel.quarantine import Quarantine
 
 __all__ = ["NodeContext"]
 
--- a/src/tanagerkeel/entry/_gang.py
+++ b/src/tanagerkeel/entry/_gang.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from tanagerkeel.admission import full_jitter_s
 from tanagerkeel.background import Background
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._request_run import RequestRun
 from tanagerkeel.gateways.engines import BackendRefused, GangSegment, Reservation
--- a/src/tanagerkeel/entry/_news_task.py
+++ b/src/tanagerkeel/entry/_news_task.py
@@ -11,7 +11,7 @@
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._observations import MESSAGE_OVERHEAD_BYTES, ByteBudget
 from tanagerkeel.membership import Suspect, SuspectNews
-from tanagerkeel.requests import QuarantineEntry
+from tanagerkeel.quarantine import QuarantineEntry
 
 __all__ = ["NewsTask"]
 
--- a/src/tanagerkeel/entry/_node.py
+++ b/src/tanagerkeel/entry/_node.py
@@ -52,12 +52,8 @@
 from tanagerkeel.gateways.platform import HttpPlatformGateway
 from tanagerkeel.gateways.services import HttpServiceGateway, ServiceReply
 from tanagerkeel.membership import MembershipHolder, NodeInfo, View
-from tanagerkeel.requests import (
-    AnswerChunk,
-    ModelRequest,
-    Quarantine,
-    ServiceRequest,
-)
+from tanagerkeel.quarantine import Quarantine
+from tanagerkeel.requests import AnswerChunk, ModelRequest, ServiceRequest
 from tanagerkeel.routing import Router
 
 __all__ = ["EntryNode"]
--- a/src/tanagerkeel/entry/_pipeline.py
+++ b/src/tanagerkeel/entry/_pipeline.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from tanagerkeel.admission import AdmissionRequest, RetryBudget, full_jitter_s
+from tanagerkeel.admission import AdmissionRequest, RetryBudget
 from tanagerkeel.background import Background
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.entry._attempts import AttemptFailed, AttemptRunner
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._estimates import (
--- a/src/tanagerkeel/entry/_placement.py
+++ b/src/tanagerkeel/entry/_placement.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from tanagerkeel.admission import full_jitter_s
 from tanagerkeel.background import Background
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.entry._context import NodeContext
 from tanagerkeel.entry._request_run import RequestRun, Stage
 from tanagerkeel.errors import ResultCode
--- a/src/tanagerkeel/entry/_service_pool.py
+++ b/src/tanagerkeel/entry/_service_pool.py
@@ -8,7 +8,7 @@
 
 from tanagerkeel.configuration import BackendKind, BackendServer, Catalog
 from tanagerkeel.entry._context import NodeContext
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 
 __all__ = ["RetryBudget", "ServicePool"]
 
--- a/src/tanagerkeel/fleet/_grantor.py
+++ b/src/tanagerkeel/fleet/_grantor.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 
 __all__ = ["Grantor", "PermitPolicy", "SeenNodes", "ShareLender"]
 
--- a/src/tanagerkeel/gateways/callers/__init__.py
+++ b/src/tanagerkeel/gateways/callers/__init__.py
@@ -1,16 +1,16 @@
 """Callers: the HTTP interface that they use, and problem documents."""
 
 from tanagerkeel.gateways.callers._app import make_callers_app
-from tanagerkeel.gateways.callers._disconnect import CancelOnDisconnect, exit_stack_of
 from tanagerkeel.gateways.callers._operators import make_operators_app
-from tanagerkeel.gateways.callers._problem import (
+from tanagerkeel.gateways.callers._protocol import OperatorHandler, RequestHandler
+from tanagerkeel.gateways.callers._status import BackendStatus, NodeStatus
+from tanagerkeel.gateways.disconnect import CancelOnDisconnect, exit_stack_of
+from tanagerkeel.gateways.problems import (
     PROBLEM_TYPE,
     Problem,
     header_policy,
     problem_of,
 )
-from tanagerkeel.gateways.callers._protocol import OperatorHandler, RequestHandler
-from tanagerkeel.gateways.callers._status import BackendStatus, NodeStatus
 
 __all__ = [
     "PROBLEM_TYPE",
--- a/src/tanagerkeel/gateways/callers/_app.py
+++ b/src/tanagerkeel/gateways/callers/_app.py
@@ -17,7 +17,6 @@
     parse_long_chat,
     usage_of,
 )
-from tanagerkeel.gateways.callers._disconnect import CancelOnDisconnect, exit_stack_of
 from tanagerkeel.gateways.callers._errors import internal_error, make_problem_app
 from tanagerkeel.gateways.callers._parsing import (
     account_of,
@@ -26,9 +25,10 @@
     read_body,
     request_id_of,
 )
-from tanagerkeel.gateways.callers._problem import problem_of
 from tanagerkeel.gateways.callers._protocol import RequestHandler
+from tanagerkeel.gateways.disconnect import CancelOnDisconnect, exit_stack_of
 from tanagerkeel.gateways.http_protocol import ABORT_EXTENSION
+from tanagerkeel.gateways.problems import problem_of
 from tanagerkeel.requests import (
     AnswerChunk,
     AnswerEnd,
--- a/src/tanagerkeel/gateways/callers/_errors.py
+++ b/src/tanagerkeel/gateways/callers/_errors.py
@@ -7,7 +7,7 @@
 
 from tanagerkeel.errors import Ran, ResultCode, TanagerkeelError
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.callers._problem import (
+from tanagerkeel.gateways.problems import (
     REQUEST_ID_HEADER,
     safe_request_id,
     send_problem,
--- a/src/tanagerkeel/gateways/callers/_parsing.py
+++ b/src/tanagerkeel/gateways/callers/_parsing.py
@@ -8,7 +8,7 @@
 from tanagerkeel.configuration import BackendKind, Catalog, ClientAccount, Model
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.gateways.callers._chat import ChatCompletion
-from tanagerkeel.gateways.callers._problem import REQUEST_ID_HEADER
+from tanagerkeel.gateways.problems import REQUEST_ID_HEADER
 from tanagerkeel.gateways.steps import in_turn
 from tanagerkeel.requests import (
     LengthClass,
--- a/src/tanagerkeel/gateways/peers/__init__.py
+++ b/src/tanagerkeel/gateways/peers/__init__.py
@@ -1,6 +1,6 @@
 """Other nodes of the system: the interface and pynng behind it."""
 
-from tanagerkeel.gateways.peers._frame import (
+from tanagerkeel.gateways.frames import (
     Frame,
     FrameRejected,
     KeyRing,
--- a/src/tanagerkeel/gateways/peers/_nng.py
+++ b/src/tanagerkeel/gateways/peers/_nng.py
@@ -13,7 +13,7 @@
 from tanagerkeel.clock import Clock
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.peers._frame import (
+from tanagerkeel.gateways.frames import (
     Frame,
     FrameRejected,
     KeyRing,
--- a/src/tanagerkeel/membership/__init__.py
+++ b/src/tanagerkeel/membership/__init__.py
@@ -25,7 +25,7 @@
     Usage,
 )
 from tanagerkeel.membership._swim import Swim, SwimTiming
-from tanagerkeel.membership._view import MembershipHolder, NodeInfo, View, rendezvous
+from tanagerkeel.membership._view import MembershipHolder, NodeInfo, View
 
 __all__ = [
     "Announcement",
@@ -53,5 +53,4 @@
     "Usage",
     "View",
     "model_number",
-    "rendezvous",
 ]
--- a/src/tanagerkeel/membership/_view.py
+++ b/src/tanagerkeel/membership/_view.py
@@ -3,7 +3,9 @@
 import attrs
 import xxhash
 
-__all__ = ["MembershipHolder", "NodeInfo", "View", "rendezvous"]
+from tanagerkeel.rendezvous import rendezvous
+
+__all__ = ["MembershipHolder", "NodeInfo", "View"]
 
 
 @attrs.frozen(order=True)
@@ -81,14 +83,3 @@
     def is_alone(self) -> bool:
         """Whether no other node of the failure domain is believed alive."""
         return len(self.view.nodes) == 1
-
-
-def rendezvous(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    """
-    Return ``names`` in the rendezvous order of ``key``.
-
-    Every node computes the same order, and a name that goes away moves no other.
-    """
-    return tuple(
-        sorted(names, key=lambda n: (-xxhash.xxh64_intdigest(f"{key}|{n}".encode()), n))
-    )
--- a/src/tanagerkeel/relay/_cold_shares.py
+++ b/src/tanagerkeel/relay/_cold_shares.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 
 __all__ = ["ColdShares"]
 
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -13,12 +13,12 @@
 
 from tanagerkeel import codec
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.peers import Frame, FrameRejected, open_frame, seal_frame
+from tanagerkeel.gateways.frames import Frame, FrameRejected, open_frame, seal_frame
+from tanagerkeel.quarantine import QuarantineEntry
 from tanagerkeel.relay import Work
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import PresenceTask
 from tanagerkeel.relay_entry._state import RelayState
-from tanagerkeel.requests import QuarantineEntry
 
 __all__ = ["NewsTask"]
 
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -11,10 +11,11 @@
 from tanagerkeel.clock import Clock, SystemClock
 from tanagerkeel.errors import TanagerkeelError
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.callers import CancelOnDisconnect, header_policy
+from tanagerkeel.gateways.disconnect import CancelOnDisconnect
 from tanagerkeel.gateways.exchange import ConnectionPool
 from tanagerkeel.gateways.http_server import HeaderPolicy, HttpServer
 from tanagerkeel.gateways.platform import PlatformUnavailable, WatchedStore
+from tanagerkeel.gateways.problems import header_policy
 from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._facts import StoreDecoder
 from tanagerkeel.relay_entry._ingress import RelayIngress
--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -6,9 +6,9 @@
 import attrs
 
 from tanagerkeel import codec
-from tanagerkeel.admission import full_jitter_s
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.peers import KeyRing
+from tanagerkeel.gateways.frames import KeyRing
 from tanagerkeel.gateways.platform import (
     ABSENT,
     CompareFailed,
--- a/src/tanagerkeel/relay_entry/_refusals.py
+++ b/src/tanagerkeel/relay_entry/_refusals.py
@@ -2,7 +2,7 @@
 
 from tanagerkeel import codec
 from tanagerkeel.errors import Ran, TanagerkeelError
-from tanagerkeel.gateways.callers import PROBLEM_TYPE, problem_of
+from tanagerkeel.gateways.problems import PROBLEM_TYPE, problem_of
 from tanagerkeel.relay_entry._admit import Refusal
 from tanagerkeel.relay_entry._protocols import CallerReply
 
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -7,6 +7,7 @@
 
 from tanagerkeel.clock import Clock
 from tanagerkeel.events import LogEvent, log
+from tanagerkeel.quarantine import Quarantine
 from tanagerkeel.relay import (
     PEER_SILENCE_S,
     BackendServer,
@@ -28,7 +29,6 @@
 )
 from tanagerkeel.relay_entry._peers import PeerTable
 from tanagerkeel.relay_entry._settings import RelaySettings
-from tanagerkeel.requests import Quarantine
 
 __all__ = ["RelayState"]
 
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -5,7 +5,7 @@
 import attrs
 
 from tanagerkeel import codec
-from tanagerkeel.admission import full_jitter_s
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.platform import (
     Entry,
--- a/src/tanagerkeel/requests/__init__.py
+++ b/src/tanagerkeel/requests/__init__.py
@@ -24,7 +24,6 @@
     fingerprint,
     length_class_of,
 )
-from tanagerkeel.requests._quarantine import Quarantine, QuarantineEntry
 
 __all__ = [
     "BLOCK_CHARACTERS",
@@ -36,8 +35,6 @@
     "AttemptTransitionError",
     "LengthClass",
     "ModelRequest",
-    "Quarantine",
-    "QuarantineEntry",
     "ServiceRequest",
     "StreamMismatch",
     "TokenChunk",
--- a/src/tanagerkeel/routing/_affinity.py
+++ b/src/tanagerkeel/routing/_affinity.py
@@ -3,7 +3,7 @@
 import attrs
 
 from tanagerkeel.fleet import FleetTable
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 from tanagerkeel.requests import ModelRequest
 
 __all__ = ["PrefixAffinity"]
--- a/src/tanagerkeel/routing/_groups.py
+++ b/src/tanagerkeel/routing/_groups.py
@@ -5,7 +5,7 @@
 import attrs
 
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 from tanagerkeel.requests import LengthClass
 
 __all__ = ["EngineGroups"]
--- a/tests/fixtures_requests.py
+++ b/tests/fixtures_requests.py
@@ -31,11 +31,11 @@
     BackendRefused,
     LoadReport,
 )
+from tanagerkeel.quarantine import Quarantine
 from tanagerkeel.requests import (
     AnswerEnd,
     LengthClass,
     ModelRequest,
-    Quarantine,
     TokenChunk,
     count_tokens,
     fingerprint,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -16,8 +16,8 @@
     RetryBudget,
     UsageBook,
     Waiting,
-    full_jitter_s,
 )
+from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.clock import ManualClock
 from tanagerkeel.errors import Ran, ResultCode, TanagerkeelError
 from tanagerkeel.requests import LengthClass
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -14,18 +14,18 @@
 from tanagerkeel.entry import EntrySettings
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.gateways.callers._chat import parse_chat
+from tanagerkeel.gateways.frames import (
+    KEY_ID_BYTES,
+    Frame,
+    open_frame,
+    seal_frame,
+)
 from tanagerkeel.gateways.peers import (
     FrameRejected,
     KeyRing,
     UnknownKind,
     message_class,
 )
-from tanagerkeel.gateways.peers._frame import (
-    KEY_ID_BYTES,
-    Frame,
-    open_frame,
-    seal_frame,
-)
 from tanagerkeel.load import Workload, parse_workload
 from tanagerkeel.standins._example import example_configuration
 from tests.fixtures import entry_settings, running_system
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -16,7 +16,7 @@
 from tanagerkeel.entry._usage_news import UsageNews
 from tanagerkeel.gateways.platform import PlatformUnavailable
 from tanagerkeel.membership import MembershipHolder, NodeInfo, View
-from tanagerkeel.requests import Quarantine
+from tanagerkeel.quarantine import Quarantine
 from tests.fixtures_peers import Network, running_tasks
 from tests.support import collect
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 
 from tanagerkeel import codec
 from tanagerkeel.clock import SystemClock
+from tanagerkeel.gateways.frames import Frame, open_frame, seal_frame
 from tanagerkeel.gateways.peers import (
     FrameRejected,
     KeyRing,
@@ -19,7 +20,6 @@
     PeerUnreachable,
     peer_message,
 )
-from tanagerkeel.gateways.peers._frame import Frame, open_frame, seal_frame
 from tanagerkeel.gateways.peers._replay import ReplayWindows
 from tests.fixtures import until
 from tests.support import collect
--- a/tests/test_permit_shares.py
+++ b/tests/test_permit_shares.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from tanagerkeel.fleet import Grantor, PermitPolicy, SeenNodes, ShareLender
-from tanagerkeel.membership import rendezvous
+from tanagerkeel.rendezvous import rendezvous
 from tests.support import collect
 
 BACKEND = "engine-1"
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from tanagerkeel.requests import Quarantine, QuarantineEntry
+from tanagerkeel.quarantine import Quarantine, QuarantineEntry
 from tests.support import collect
 
 NOW = 100.0
