Refuse at once where no engine can be reached; wait for the first configuration

A node that was cut off while its own failure domain was taken out tried engine after engine and stayed ready; nodes that had just started refused callers' last tries for want of 90 ms. Change: services out of reach are refused at once, told to the balancer and looked for; the first configuration is waited for up to 0.25 s; a request is to blame for an engine's death only from the moment that it has left the node. Ruled out: listening after the first listing; more tries within one request.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -94,6 +94,8 @@
     :param failure_share: moving share of sends that failed.
     :param outcome_s: when the last send ended.
     :param success_s: when the last send went well.
+    :param heard_s: when it last answered anything.
+    :param lost_s: when a send last found it unreachable or silent.
     :param refused_s: when nothing listened at its address, or another one did.
     :param pace: moving ratio of measured to expected time; 1 is as expected.
     """
@@ -108,6 +110,8 @@
     failure_share: float = 0.0
     outcome_s: float = 0.0
     success_s: float = float("-inf")
+    heard_s: float = float("-inf")
+    lost_s: float = float("-inf")
     refused_s: float = float("-inf")
     pace: float = 1.0
 
@@ -252,13 +256,17 @@
         match mishap:
             case Mishap.UNREACHABLE | Mishap.SILENT:
                 belief.failures += 1
+                belief.lost_s = now
                 pause_s = min(LONGEST_SHUN_S, SHUN_S * 2 ** (belief.failures - 1))
                 belief.shunned_until_s = now + pause_s
             case Mishap.MISDIRECTED:
                 # Another one has its address: the entry names nothing any more.
                 belief.shunned_until_s = float("inf")
                 belief.refused_s = now
-            case Mishap.BROKEN | Mishap.WRONG_ANSWER | Mishap.ERROR | Mishap.SHED:
+            case Mishap.ERROR | Mishap.SHED:
+                belief.failures += 1
+                belief.heard_s = now
+            case Mishap.BROKEN | Mishap.WRONG_ANSWER:
                 belief.failures += 1
 
     def succeeded(
@@ -274,12 +282,29 @@
             return
         self._count(belief, 0.0, now)
         belief.failures = 0
-        belief.success_s = now
+        belief.success_s = belief.heard_s = now
         belief.shunned_until_s = min(belief.shunned_until_s, now)
         if pace is not None:
             sample = min(MAX_PACE, max(1.0 / MAX_PACE, pace))
             belief.pace += PACE_WEIGHT * (sample - belief.pace)
 
+    def out_of_reach(self, service: str, now: float) -> bool:
+        """
+        Return whether none of a service's backend servers can be reached from here.
+
+        So it is when the last word of each usable one is a failure to reach it.
+        """
+        usable = list(self.usable(service, now))
+        return bool(usable) and all(b.lost_s > b.heard_s for b in usable)
+
+    def reached(self, server: BackendServer, now: float) -> None:
+        """Take in that a connection to a backend server came up."""
+        belief = self._beliefs.get(server.backend_id)
+        if belief is not None and belief.server.same_life(server):
+            belief.heard_s = now
+            belief.failures = 0
+            belief.shunned_until_s = min(belief.shunned_until_s, now)
+
     def refused(self, server: BackendServer, now: float) -> None:
         """Take in that nothing listens at a backend server's address."""
         belief = self._beliefs.get(server.backend_id)
--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -6,7 +6,7 @@
 from tanagerkeel.relay import CallerRequest, ClientAccount, Route, ServiceSpec
 from tanagerkeel.relay_entry._state import RelayState
 
-__all__ = ["Admitted", "Refusal", "admit"]
+__all__ = ["ELSEWHERE_S", "Admitted", "Refusal", "admit"]
 
 # Another node may know more: a caller may come back to one almost at once, in seconds.
 ELSEWHERE_S = 0.05
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -73,6 +73,7 @@
     :param helpers: backend servers that read parts of the prompt.
     :param may_switch: tells whether another backend server may take over when this
         one falls silent; counts a retry when it says so.
+    :param on_sent: called when the request has left this node.
     :param on_first: called when the first event or the whole answer is there.
     """
 
@@ -83,6 +84,7 @@
     _codec: BackendCodec
     _helpers: tuple[Helper, ...]
     _may_switch: Callable[[], bool]
+    _on_sent: Callable[[], None]
     _on_first: Callable[[], None]
     _connection: BackendConnection | None = None
     _begun: bool = False
@@ -118,6 +120,7 @@
                 self._codec.encode(run.request, run.body, options),
                 no_body=run.request.method == "HEAD",
             )
+            self._on_sent()
             outcome = await self._receive()
             complete = not isinstance(outcome, Lost)
             return outcome
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -24,6 +24,7 @@
 from tanagerkeel.relay_entry._operators import metrics_app, readiness_app
 from tanagerkeel.relay_entry._presence_task import PresenceTask
 from tanagerkeel.relay_entry._protocols import BackendCodec, CallerCodec
+from tanagerkeel.relay_entry._reach_task import ReachTask
 from tanagerkeel.relay_entry._runner import RelayRunner
 from tanagerkeel.relay_entry._settings import RelaySettings, load_relay_settings
 from tanagerkeel.relay_entry._state import RelayState
@@ -124,6 +125,7 @@
         self._begin("store", store.run)
         self._begin("presence", self._presence.run)
         self._begin("sweep", self._sweep)
+        self._begin("reach", ReachTask(self.state, self._pool, self._random).run)
         log(
             LogEvent.ENTRY_STARTED,
             node=self.settings.node_id,
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -20,7 +20,7 @@
     Work,
     choose,
 )
-from tanagerkeel.relay_entry._admit import Refusal, admit
+from tanagerkeel.relay_entry._admit import ELSEWHERE_S, Refusal, admit
 from tanagerkeel.relay_entry._attempt import Attempt
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._news_task import NewsTask
@@ -47,6 +47,9 @@
 # Connections that come up fail at once when a process has died: so many backend
 # servers may be tried without having sent anything.
 MAX_UNSENT = 8
+# A node that has just started has the configuration within this time, in seconds: a
+# listing takes one call, which is answered in milliseconds.
+FIRST_CONFIGURATION_S = 0.25
 # How long a broken send still counts as running for the blame of a death that is
 # found out later, in seconds.
 BLAME_S = 2.0
@@ -113,6 +116,7 @@
     async def _serve(
         self, request: CallerRequest, body: bytes, reply: CallerReply
     ) -> None:
+        await self._until_configured()
         terms = admit(request, self._state)
         if isinstance(terms, Refusal):
             await self._refuse(request, reply, terms)
@@ -135,6 +139,15 @@
         except TimeoutError:
             await self._give_up(run, run.timeout_code(), "its time is over")
 
+    async def _until_configured(self) -> None:
+        """Wait for the first configuration: the caller may have no other try left."""
+        until_s = self._state.clock.monotonic() + FIRST_CONFIGURATION_S
+        while self._state.configuration is None:
+            left_s = until_s - self._state.clock.monotonic()
+            if left_s <= 0:
+                return
+            await self._state.wait_changed(left_s)
+
     async def _until_answered(self, run: RelayRun) -> None:
         unsent = 0
         while True:
@@ -208,6 +221,10 @@
             now = self._state.clock.monotonic()
             if now >= run.deadline_s:
                 raise TimeoutError
+            service = run.terms.service.name
+            if self._state.backends.out_of_reach(service, now):
+                reason = f"no backend server of {service} can be reached from here"
+                return Refusal(ResultCode.NO_BACKEND, reason, ELSEWHERE_S)
             candidates = list(self._candidates(run, now))
             demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
             placement = choose(candidates, demand, now, run.request.request_id)
@@ -351,9 +368,6 @@
             self._state.cold_shares.sent(server.backend_id, started_s)
         send_id = f"{run.request.request_id}/{run.sends}"
         life = str(server.born_ms)
-        self._state.quarantine.started(
-            server.backend_id, send_id, run.fingerprint, life
-        )
         if run.events:
             log(
                 LogEvent.RELAY_RESUMED,
@@ -369,6 +383,10 @@
             self._codec,
             helpers,
             lambda: run.repeatable and self._take_repeat(run),
+            # Only what has left this node can be to blame for a death there.
+            lambda: self._state.quarantine.started(
+                server.backend_id, send_id, run.fingerprint, life
+            ),
             lambda: self._first(run, placement, works, started_s),
         )
         before = run.unsure
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -87,7 +87,20 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return not self.stopping and self.configuration is not None and self.confirmed
+        return (
+            not self.stopping
+            and self.configuration is not None
+            and self.confirmed
+            and not self.cut_off
+        )
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether no backend server of any service can be reached from here."""
+        now = self.clock.monotonic()
+        services = {b.server.service for b in self.backends}
+        lost = [self.backends.out_of_reach(name, now) for name in services]
+        return bool(lost) and all(lost)
 
     @property
     def confirmed_age_s(self) -> float:
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -475,6 +475,7 @@
     service: str = "booking",
     bounds: RelayBounds | None = None,
     document: dict | None = None,
+    configured: bool = True,
 ) -> AsyncIterator[Relay]:
     """Run a node with one engine a script, all registered for one service."""
     store = MemoryStore()
@@ -482,7 +483,8 @@
     for engine in engines:
         await engine.start()
         store.write(f"servers/{engine.engine_id}", engine.entry(service))
-    store.write("op/config", document or configuration())
+    if configured:
+        store.write("op/config", document or configuration())
     settings = RelaySettings(
         node_id="node-1",
         failure_domain="zone-a",
@@ -499,7 +501,9 @@
     )
     await node.start()
     relay = Relay(node, store, engines)
-    await relay.until(lambda: node.state.ready and len(node.state.backends) > 0)
+    await relay.until(
+        lambda: len(node.state.backends) > 0 and (node.state.ready or not configured)
+    )
     try:
         yield relay
     finally:
--- a/tests/platform/test_rules_fleet.py
+++ b/tests/platform/test_rules_fleet.py
@@ -98,6 +98,24 @@
         assert (await relay.call("/lookup/x")).status == 200
 
 
+async def test_a_request_at_a_node_that_has_just_started_waits_for_the_first_version():
+    # An incident: after a loss of power the callers' last tries met nodes that
+    # listened but had no configuration for some milliseconds more.
+    async with relaying(plain, configured=False) as relay:
+        # The node's own key was a change; the next call comes a little later.
+        await asyncio.sleep(1.0)
+        early = asyncio.create_task(relay.call("/lookup/x"))
+        await asyncio.sleep(0.05)
+        relay.store.write("op/config", configuration())
+        assert (await early).status == 200
+    async with relaying(plain, configured=False) as relay:
+        assert await relay.ready() == 503
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        assert (await relay.call("/lookup/x")).status == 503
+        assert loop.time() - started < 1.0
+
+
 async def test_a_key_that_was_taken_away_is_refused():
     async with relaying(plain) as relay:
         accounts = [{"name": "acme", "apiKeys": ["another"], "priority": 1}]
@@ -193,6 +211,31 @@
             assert (reply.status, reply.body) == (200, b"i-1")
 
 
+async def test_a_node_without_any_reachable_engine_refuses_and_is_not_ready():
+    async with relaying(plain, plain) as relay:
+        for engine in relay.engines:
+            await engine.stop()
+        assert (await relay.call("/lookup/x")).status == 503
+        assert await relay.ready() == 503
+        reply = await relay.call("/lookup/x", request_id="r2")
+        assert reply.status == 503 and float(reply.headers["retry-after"]) < 0.2
+        host, _, port = relay.node.state.backends.get("i-0").server.address.rpartition(
+            ":"
+        )
+        again = await asyncio.start_server(lambda r, w: None, host, int(port))
+        async with again:
+            await relay.until(lambda: relay.node.state.ready)
+
+
+async def test_a_request_that_met_dead_engines_is_not_to_blame():
+    async with relaying(plain, plain, plain, plain) as relay:
+        for engine in relay.engines[:3]:
+            await engine.stop()
+        for n in range(8):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert reply.status == 200
+
+
 async def test_no_request_goes_to_more_engines_than_its_route_allows():
     async with relaying(shed, shed, shed, shed) as relay:
         reply = await relay.call("/lookup/x")
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -106,6 +106,25 @@
     assert table.get("e2").failing(20.0) < 0.05
 
 
+def test_a_service_is_out_of_reach_when_every_last_word_is_a_loss():
+    # An incident: the node's own domain was taken out, and the others were cut off.
+    table = _table()
+    assert not table.out_of_reach("models", 0.5)
+    table.failed(FIRST, Mishap.SILENT, 1.0)
+    assert not table.out_of_reach("models", 1.0)
+    table.failed(SECOND, Mishap.UNREACHABLE, 1.2)
+    assert table.out_of_reach("models", 1.3)
+    # A refusal is a word, too.
+    table.failed(SECOND, Mishap.SHED, 1.5)
+    assert not table.out_of_reach("models", 1.6)
+    table.failed(SECOND, Mishap.UNREACHABLE, 2.0)
+    table.take_domain_out("zone-b")
+    assert table.out_of_reach("models", 2.1)
+    table.reached(FIRST, 2.5)
+    assert not table.out_of_reach("models", 2.6)
+    assert table.get("e1").shunned_until_s <= 2.5
+
+
 def test_a_domain_that_comes_back_counts_as_cold():
     table = _table()
     table.take_domain_out("zone-a")
