--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import itertools
 import json
 import socket
@@ -429,7 +430,7 @@
             route("reserve", "unsafe", "booking", maxAttempts=1),
             route("chat", "stream", "models", targetGapMs=250),
         ],
-        "services": [PLAIN_SERVICE, ENGINE_SERVICE],
+        "services": copy.deepcopy([PLAIN_SERVICE, ENGINE_SERVICE]),
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 65_536,
--- /dev/null
+++ b/tests/platform/test_logs.py
@@ -0,0 +1,126 @@
+"""From a failed request to its cause by log lines alone, and the log's bounds."""
+
+import asyncio
+import json
+import os
+
+import eliot
+
+from tanagerkeel.events import LogEvent, log
+from tanagerkeel.log_output import LogOutput
+from tests.platform.fixtures import plain, relaying, reset, shed
+from tests.support import collect
+
+
+class _Lines:
+    """The log of what runs inside the block."""
+
+    def __enter__(self):
+        self.messages = []
+        eliot.add_destinations(self.messages.append)
+        return self
+
+    def __exit__(self, *_):
+        eliot.remove_destination(self.messages.append)
+
+    def of(self, request_id):
+        return [m for m in self.messages if m.get("request") == request_id]
+
+    def events(self, request_id):
+        return [m["event"] for m in self.of(request_id)]
+
+
+async def test_a_refused_request_leads_to_the_lost_platform():
+    from tanagerkeel.relay_entry import RelayBounds
+
+    bounds = RelayBounds(revoke_ms=1_000, grace_s=3.0)
+    with _Lines() as lines:
+        async with relaying(plain, bounds=bounds) as relay:
+            relay.store.down = True
+            await relay.until(lambda: not relay.node.state.confirmed)
+            assert (await relay.call("/lookup/x", request_id="q1")).status == 503
+    (line,) = lines.of("q1")
+    assert line["event"] == LogEvent.RELAY_REFUSED
+    assert "last confirmed" in line["reason"]
+    lost = [m for m in lines.messages if m["event"] == LogEvent.PLATFORM_UNREACHABLE]
+    assert lost[0]["reason"] == "status 503"
+    assert lost[0]["timestamp"] < line["timestamp"]
+
+
+async def test_a_request_that_got_502_leads_to_the_engine_and_its_mishap():
+    async def breaking(engine, seen, writer):
+        reset(writer)
+
+    with _Lines() as lines:
+        async with relaying(breaking) as relay:
+            reply = await relay.call(
+                "/reserve/x", request_id="q2", method="POST", body=b"seat"
+            )
+            assert reply.status == 502
+    placed, failed, refused = lines.of("q2")
+    assert placed["event"] == LogEvent.RELAY_PLACED
+    assert {"version", "confirmed_age_s", "news_age_s", "candidates"} <= set(placed)
+    assert failed["event"] == LogEvent.RELAY_ATTEMPT_FAILED
+    assert (failed["backend"], failed["mishap"]) == ("i-0", "broken")
+    assert refused["sends"] == 1
+
+
+async def test_a_late_request_leads_to_the_engine_that_refused_it_first():
+    with _Lines() as lines:
+        async with relaying(shed, plain) as relay:
+            for n in range(6):
+                reply = await relay.call("/lookup/x", request_id=f"q{n}")
+                assert reply.status == 200
+    told = [f"q{n}" for n in range(6)]
+    late = next(q for q in told if LogEvent.RELAY_ATTEMPT_FAILED in lines.events(q))
+    by_event = {m["event"]: m for m in lines.of(late)}
+    assert by_event[LogEvent.RELAY_ATTEMPT_FAILED]["mishap"] == "shed"
+    done = by_event[LogEvent.RELAY_FINISHED]
+    assert done["sends"] == 2 and done["objective_ms"] == 300
+
+
+def _piped(lines_per_s):
+    reader, writer = os.pipe()
+    output = LogOutput(lines_per_s, writer)
+    output.start(asyncio.get_running_loop())
+    return reader, writer, output
+
+
+async def test_a_flood_is_bounded_and_other_events_keep_their_part():
+    reader, writer, output = _piped(50)
+    try:
+        for n in range(1_000):
+            log(LogEvent.RELAY_PLACED, request=f"r{n}")
+        log(LogEvent.BACKEND_GONE, backend="e1")
+        await asyncio.sleep(0)
+        lines = os.read(reader, 1_000_000).splitlines()
+    finally:
+        output.stop()
+        os.close(reader)
+        os.close(writer)
+    events = [json.loads(line)["event"] for line in lines]
+    assert len(events) <= 2 * 50
+    assert events[-1] == LogEvent.BACKEND_GONE
+    assert output.dropped == 1_001 - len(events)
+
+
+async def test_a_pipe_that_nobody_reads_costs_lines_and_no_time():
+    reader, writer, output = _piped(1_000_000)
+    try:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        for n in range(5_000):
+            log(LogEvent.RELAY_PLACED, request=f"r{n}", padding="x" * 200)
+        assert loop.time() - started < 2.0
+        assert output.dropped > 0
+        first = os.read(reader, 65_536)
+        await asyncio.sleep(0.05)
+        assert first.startswith(b"{") and os.read(reader, 65_536)
+    finally:
+        output.stop()
+        os.close(reader)
+        os.close(writer)
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
