Count the retries that one proven death causes once

Cause (known red, now mended): of 60 requests at once 15 attempts failed, 11 of them broken off by one engine's death; the retry budget held 10, so that 5 requests ended with RETRIES_EXHAUSTED. Change: requests that one proven death broke off draw one retry together; the floor is 5 a minute again, as first designed, and the bounds of the two tests that had been widened with it are back (calls <= 40 + 5, made <= max(5, 0.1 of first tries)). Ruled out: a larger floor, which would let a failing pool multiply its load.

--- a/src/tanagerkeel/admission/_retries.py
+++ b/src/tanagerkeel/admission/_retries.py
@@ -9,7 +9,7 @@
 WINDOW_S = 60.0
 SLOT_S = 5.0
 SHARE = 0.1
-FLOOR = 10
+FLOOR = 5
 
 
 @attrs.define
@@ -31,17 +31,30 @@
     _share: float = SHARE
     _floor: int = FLOOR
     _slots: "collections.deque[_Slot]" = attrs.field(factory=collections.deque)
+    # When each death of a backend server was counted.
+    _deaths_s: dict[str, float] = attrs.field(factory=dict)
 
     def first_try(self, now: float) -> None:
         """Count a request's first attempt."""
         self._slot(now).first_tries += 1
 
-    def take(self, now: float) -> bool:
-        """Count a retry if one is left; return whether it may be made."""
+    def take(self, now: float, death: str | None = None) -> bool:
+        """
+        Count a retry if one is left; return whether it may be made.
+
+        :param now: monotonic time, in seconds.
+        :param death: the life of a backend server that proved to have ended while the
+            request ran there. The requests that it broke off are no storm of retries:
+            there are at most as many as ran at once, and all together count as one.
+        """
         slot = self._slot(now)
+        if death is not None and death in self._deaths_s:
+            return True
         if self._retries() + 1 > max(self._floor, self._share * self._first_tries()):
             return False
         slot.retries += 1
+        if death is not None:
+            self._deaths_s[death] = now
         return True
 
     def retry_after_s(self, now: float) -> float:
@@ -60,6 +73,9 @@
     def _slot(self, now: float) -> _Slot:
         while self._slots and self._slots[0].started_s + SLOT_S + WINDOW_S <= now:
             self._slots.popleft()
+        if self._deaths_s:
+            oldest = now - WINDOW_S
+            self._deaths_s = {d: s for d, s in self._deaths_s.items() if s > oldest}
         if not self._slots or self._slots[-1].started_s + SLOT_S <= now:
             self._slots.append(_Slot(now))
         return self._slots[-1]
--- a/src/tanagerkeel/entry/_attempts.py
+++ b/src/tanagerkeel/entry/_attempts.py
@@ -43,12 +43,14 @@
     :param backends: backend servers to avoid in the next attempt.
     :param planned: whether it never left this node.
     :param connected: False if no connection came about, which costs nobody work.
+    :param death: the life of a backend server that has ended; None if none has.
     """
 
     reason: str
     backends: tuple[str, ...]
     planned: bool = False
     connected: bool = True
+    death: str | None = None
 
 
 @attrs.define
@@ -271,9 +273,16 @@
             return AttemptFailed(reason, names, connected=False)
         _fail(attempt)
         self._cancel(snapshots[-1], attempt)
+        death = None
         if isinstance(error, BackendFailed):
-            await asyncio.gather(*map(self._deaths.died, snapshots))
-        return AttemptFailed(reason, names)
+            dead = await asyncio.gather(*map(self._deaths.died, snapshots))
+            lives = (
+                f"{snapshot.server.name} {snapshot.incarnation}"
+                for snapshot, died in zip(snapshots, dead, strict=True)
+                if died
+            )
+            death = next(lives, None)
+        return AttemptFailed(reason, names, death=death)
 
     def _cancel(self, snapshot: BackendSnapshot, attempt: Attempt) -> None:
         self._background.start(
--- a/src/tanagerkeel/entry/_pipeline.py
+++ b/src/tanagerkeel/entry/_pipeline.py
@@ -157,7 +157,7 @@
             raise run.error(code, failure.reason, RETRY_AFTER_S)
         now = self._context.clock.monotonic()
         budget = self._budgets[run.request.model]
-        if failure.connected and not budget.take(now):
+        if failure.connected and not budget.take(now, failure.death):
             raise run.error(
                 ResultCode.RETRIES_EXHAUSTED,
                 failure.reason,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -335,7 +335,17 @@
             # A slot counts as a whole, so the window is up to 65 s long.
             recent = sum(1 for t in firsts if t > now - 65.0)
             made = sum(1 for t in retries if t > now - 60.0)
-            assert made <= max(10, 0.1 * recent)
+            assert made <= max(5, 0.1 * recent)
+
+
+def test_all_that_one_death_broke_off_counts_once():
+    budget = RetryBudget()
+    assert all(budget.take(1.0, "e1 1") for _ in range(50))
+    made = sum(budget.take(1.0, f"e{n} 1") for n in range(2, 20))
+    assert made == 4
+    assert not budget.take(1.0)
+    # It is counted anew once its window has passed.
+    assert budget.take(70.0, "e1 1")
 
 
 def test_jitter_is_full_and_bounded():
--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -59,7 +59,6 @@
         return "".join(texts)
 
     answers = []
-    # So few at a time that one death stays within the retry budget.
     for start in range(0, len(workload), at_once):
         wave = map(one, workload[start : start + at_once])
         answers += await asyncio.gather(*wave)
--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -95,7 +95,7 @@
     assert all(e.ran is Ran.UNKNOWN for e in errors)
     assert any(e.result is ResultCode.RETRIES_EXHAUSTED for e in errors)
     calls = sum(len(e.calls) for e in bench.engines.engines)
-    assert calls <= 40 + 10
+    assert calls <= 40 + 5
     await bench.assert_nothing_held()
 
 
