--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -81,6 +81,7 @@
             log_config=None,
             timeout_keep_alive=self._keep_alive_s,
             date_header=False,
+            proxy_headers=False,
             server_header=False,
         )
         server = _Server(config)
--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -38,15 +38,18 @@
     estimate,
 )
 from tanagerkeel.relay._retry_shares import RetryShare
+from tanagerkeel.relay._watching import Batch, ChangeLog, StoreEvent, watchers
 
 __all__ = [
     "PEER_SILENCE_S",
     "BackendServer",
     "BackendTable",
+    "Batch",
     "Belief",
     "CallerLimits",
     "CallerRequest",
     "Candidate",
+    "ChangeLog",
     "ClientAccount",
     "ColdShares",
     "Demand",
@@ -66,6 +69,7 @@
     "RouteKind",
     "ServerState",
     "ServiceSpec",
+    "StoreEvent",
     "StreamEvent",
     "WeightedService",
     "Work",
@@ -75,5 +79,6 @@
     "pass_ms",
     "read_ms",
     "step_ms",
+    "watchers",
     "write_ms",
 ]
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -7,13 +7,19 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from tanagerkeel import codec
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.frames import Frame, FrameRejected, open_frame, seal_frame
+from tanagerkeel.gateways.frames import (
+    Frame,
+    FrameRejected,
+    KeyRing,
+    open_frame,
+    seal_frame,
+)
 from tanagerkeel.quarantine import QuarantineEntry
 from tanagerkeel.relay import Work
 from tanagerkeel.relay_entry._peers import Peer
@@ -107,6 +113,31 @@
     _sequence: int = 0
     _near_due: asyncio.TimerHandle | None = None
     _all_due: asyncio.TimerHandle | None = None
+    # Takes in messages of other kinds: sender and payload.
+    _handlers: dict[int, Callable[[str, bytes], None]] = attrs.field(factory=dict)
+
+    def handle(self, kind: int, handler: Callable[[str, bytes], None]) -> None:
+        """
+        Hand messages of a kind to another task.
+
+        :param kind: number of the message's class.
+        :param handler: gets the sender's id and the payload; may raise InvalidValue.
+        """
+        self._handlers[kind] = handler
+
+    def send_to(self, peer: Peer, kind: int, message: object) -> bool:
+        """
+        Send a message to one peer; return whether it could be sent at all.
+
+        :param peer: who gets it.
+        :param kind: number of the message's class.
+        :param message: an attrs value.
+        """
+        keys = self._presence.keys
+        if keys is None or self._transport is None:
+            return False
+        self._put(self._seal(kind, codec.pack_compact(message), keys), peer)
+        return True
 
     async def start(self) -> None:
         """Bind the node's address and begin to tell its state."""
@@ -155,6 +186,9 @@
             return
         try:
             frame = open_frame(data, EVERY_PEER, keys)
+            if frame.kind in self._handlers:
+                self._handlers[frame.kind](frame.sender, frame.payload)
+                return
             news = codec.unpack_compact(frame.payload, _News)
         except (FrameRejected, codec.InvalidValue) as error:
             log(
@@ -225,16 +259,22 @@
             self._state.used_retries(),
             self._state.backends.refusing(now)[:MAX_GONE],
         )
+        data = self._seal(NEWS_KIND, codec.pack_compact(news), keys)
+        for peer in peers:
+            self._put(data, peer)
+
+    def _seal(self, kind: int, payload: bytes, keys: KeyRing) -> bytes:
         self._sequence += 1
         frame = Frame(
             sender=self._state.settings.node_id,
             session=self._session,
             to_session=0,
             sequence=self._sequence,
-            kind=NEWS_KIND,
-            payload=codec.pack_compact(news),
+            kind=kind,
+            payload=payload,
         )
-        data = seal_frame(frame, EVERY_PEER, keys)
-        for peer in peers:
-            host, _, port = peer.news_address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
+        return seal_frame(frame, EVERY_PEER, keys)
+
+    def _put(self, data: bytes, peer: Peer) -> None:
+        host, _, port = peer.news_address.rpartition(":")
+        self._transport.sendto(data, (host, int(port)))
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -18,6 +18,7 @@
 from tanagerkeel.gateways.problems import header_policy
 from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._facts import StoreDecoder
+from tanagerkeel.relay_entry._follow import Follow
 from tanagerkeel.relay_entry._ingress import RelayIngress
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._news_task import NewsTask
@@ -121,7 +122,13 @@
         for server in self._servers:
             await server.start()
         await self._news.start()
-        store = StoreTask(self._store, self._decoder, self.state, self._random)
+        store = StoreTask(
+            self._store,
+            self._decoder,
+            self.state,
+            self._random,
+            Follow(self.state, self._news),
+        )
         self._begin("store", store.run)
         self._begin("presence", self._presence.run)
         self._begin("sweep", self._sweep)
--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -51,6 +51,15 @@
         """All other nodes whose keys are there."""
         return tuple(p for p in self._peers.values() if p.node_id != self._own_id)
 
+    @property
+    def domains(self) -> dict[str, str]:
+        """The failure domain of each node whose key is there, by the node's id."""
+        return {p.node_id: p.failure_domain for p in self._peers.values()}
+
+    def get(self, node_id: str) -> Peer | None:
+        """Return a node by its id."""
+        return self._peers.get(node_id)
+
     def put(self, peer: Peer) -> bool:
         """Take in a node's key; return whether it is new or has changed."""
         changed = self._peers.get(peer.node_id) != peer
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -1,5 +1,6 @@
 """Follows the platform's store: one listing, then one watch over all keys."""
 
+import math
 import random
 
 import attrs
@@ -8,18 +9,21 @@
 from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.platform import (
+    Changes,
     Entry,
     HistoryLost,
     Listing,
     PlatformUnavailable,
     WatchedStore,
 )
+from tanagerkeel.relay import Batch, watchers
 from tanagerkeel.relay_entry._facts import (
     BackendFact,
     DomainOutFact,
     StoreDecoder,
     UnreadableEntry,
 )
+from tanagerkeel.relay_entry._follow import Follow, StoreAnswer
 from tanagerkeel.relay_entry._peers import Peer, node_of_key
 from tanagerkeel.relay_entry._state import RelayState
 
@@ -34,6 +38,13 @@
 # After a change so much of the bound on backend servers that leave passes until the
 # next call, so that changes in quick succession cost one call together.
 GATHER_SHARE = 0.3
+# A node that follows asks so often, in seconds; watchers tell it of changes besides.
+ASK_S = 0.9
+# A watcher whose own confirmation is older has lost the store, in seconds: more than
+# a whole watch and the time of a slow answer.
+MAX_ANSWER_AGE_S = WATCH_MS / 1_000 + 0.8
+# A node that no watcher answers watches by itself for this time, in seconds.
+DIRECT_S = 5.0
 # First and longest bound of the pause after a failed call, in seconds. The platform
 # counts refused calls too; a configuration must be in force two seconds after.
 RETRY_BASE_S = 0.1
@@ -49,15 +60,18 @@
     :param decoder: reads the store's entries.
     :param state: the node's beliefs.
     :param random: source of randomness.
+    :param follow: questions to other nodes.
     """
 
     _store: WatchedStore
     _decoder: StoreDecoder
     _state: RelayState
     _random: random.Random
-    _revision: int | None = None
+    _follow: Follow
+    _direct_until_s: float = 0.0
     _failures: int = 0
-    _reachable: bool = False
+    # None before the first call has ended.
+    _reachable: bool | None = None
     _gather: bool = False
 
     @property
@@ -68,6 +82,9 @@
         """Follow the store until cancelled."""
         while True:
             try:
+                if self._follows:
+                    await self.follow()
+                    continue
                 await self.step()
                 if self._gather:
                     await self._state.clock.sleep(self._gather_s)
@@ -79,46 +96,113 @@
                     )
                 )
 
-    async def step(self) -> None:
-        """Make one call and take in its answer."""
+    @property
+    def _follows(self) -> bool:
+        now = self._state.clock.monotonic()
+        if self._follow.revision is None or now < self._direct_until_s:
+            return False
+        return self._state.settings.node_id not in self._watchers
+
+    @property
+    def _watchers(self) -> tuple[str, ...]:
+        settings = self._state.settings
+        # This node's own key may not be there yet, or no more.
+        nodes = {**self._state.peers.domains, settings.node_id: settings.failure_domain}
+        return watchers(nodes, settings.failure_domain)
+
+    async def follow(self) -> None:
+        """Ask the watchers once, and watch directly for a while if none answers."""
+        asked_s = self._state.clock.boottime()
+        for name in self._watchers:
+            peer = self._state.peers.get(name)
+            if peer is None:
+                continue
+            asked_s = self._state.clock.boottime()
+            answer = await self._follow.ask(peer, self._follow.revision)
+            if answer is not None and 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
+                await self._take_answer(answer, asked_s)
+                await self._follow.wait_hint(ASK_S)
+                return
+        log(
+            LogEvent.WATCHERS_SILENT,
+            watchers=list(self._watchers),
+            confirmed_age_s=self._confirmed_age(),
+        )
+        self._direct_until_s = self._state.clock.monotonic() + DIRECT_S
+
+    async def _take_answer(self, answer: StoreAnswer, asked_s: float) -> None:
+        if answer.revision > self._follow.revision:
+            if not answer.told:
+                # Too much for a datagram: one call brings it.
+                await self.step(wait_ms=0)
+                return
+            for key, value, revision in answer.events:
+                event = key if value is None else Entry(key, value, revision)
+                self._take_event(event, answer.revision)
+            self._follow.revision = answer.revision
+        self._reached()
+        confirmed_s = asked_s - answer.age_ms / 1_000
+        self._state.confirmed_s = max(self._state.confirmed_s, confirmed_s)
+        self._state.expire()
+
+    async def step(self, wait_ms: int = WATCH_MS) -> None:
+        """
+        Make one call and take in its answer.
+
+        :param wait_ms: how long the store may wait for a change, in milliseconds.
+        """
         asked_s = self._state.clock.boottime()
         try:
-            if self._revision is None:
+            if self._follow.revision is None:
                 self._take_listing(await self._store.list_all(ALL_KEYS))
             else:
-                asked_s += await self._take_changes(self._revision)
+                asked_s += await self._take_changes(self._follow.revision, wait_ms)
         except HistoryLost:
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
                 reason="the history was dropped, listing again",
-                revision=self._revision,
+                revision=self._follow.revision,
             )
-            self._revision = None
+            self._follow.revision = None
             return
         self._reached()
-        self._state.confirmed_s = asked_s
+        self._state.confirmed_s = max(self._state.confirmed_s, asked_s)
         self._state.expire()
 
-    async def _take_changes(self, after: int) -> float:
+    async def _take_changes(self, after: int, wait_ms: int) -> float:
         """Return how long after the start of the call nothing had changed yet."""
         asked_s = self._state.clock.boottime()
-        changes = await self._store.changes(ALL_KEYS, after, WATCH_MS)
+        changes = await self._store.changes(ALL_KEYS, after, wait_ms)
         for event in changes.events:
             self._take_event(event, changes.revision)
-        self._revision = changes.revision
+        self._remember(after, changes)
         waited_s = self._state.clock.boottime() - asked_s
         self._gather = bool(changes.events)
-        if changes.events or waited_s < WATCH_MS / 1_000:
+        if changes.events or waited_s < wait_ms / 1_000:
             return 0.0
         # The store had nothing new until the wait that it was asked for was over.
-        return WATCH_MS / 1_000
+        return wait_ms / 1_000
+
+    def _remember(self, after: int, changes: Changes) -> None:
+        self._follow.revision = changes.revision
+        if not changes.events:
+            return
+        events = tuple(
+            (event.key, event.value, event.revision)
+            if isinstance(event, Entry)
+            else (event, None, changes.revision)
+            for event in changes.events
+        )
+        self._follow.log.add(Batch(after, changes.revision, events))
+        if self._state.settings.node_id in self._watchers:
+            self._follow.tell_changed(changes.revision)
 
     def _reached(self) -> None:
         self._state.backends.store_back(self._state.clock.monotonic())
         if not self._reachable:
             log(
                 LogEvent.PLATFORM_REACHABLE,
-                revision=self._revision,
+                revision=self._follow.revision,
                 failures=self._failures,
             )
         self._reachable = True
@@ -127,15 +211,19 @@
     def _lost(self, error: PlatformUnavailable) -> None:
         self._failures += 1
         self._state.backends.store_lost()
-        if self._reachable:
+        if self._reachable is not False:
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
                 reason=error.reason,
-                revision=self._revision,
-                confirmed_age_s=round(self._state.confirmed_age_s, 3),
+                revision=self._follow.revision,
+                confirmed_age_s=self._confirmed_age(),
             )
         self._reachable = False
 
+    def _confirmed_age(self) -> float | None:
+        age_s = self._state.confirmed_age_s
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
     def _take_listing(self, listing: Listing) -> None:
         backends: set[str] = set()
         domains: set[str] = set()
@@ -151,7 +239,8 @@
         self._state.keep_only(backends, domains)
         for gone in set(self._state.peers.names()) - nodes:
             self._peer_gone(gone)
-        self._revision = listing.revision
+        self._follow.revision = listing.revision
+        self._follow.log.forget()
 
     def _take_event(self, event: Entry | str, revision: int) -> None:
         if isinstance(event, Entry):
--- /dev/null
+++ b/tests/platform/mutants/start.py
@@ -0,0 +1,15 @@
+"""Starts a node whose code a test has changed."""
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+for folder in ("src", "platform"):
+    sys.path.insert(0, str(ROOT / folder))
+
+
+def start() -> None:
+    """Run the node."""
+    from panunumpa._main import main
+
+    main()
--- /dev/null
+++ b/tests/platform/test_reservations.py
@@ -0,0 +1,149 @@
+"""LEAK, STUCK and LIMIT: memory that is set aside for prompts over one engine's."""
+
+import asyncio
+
+from tests.platform.fixtures import (
+    CHUNKED,
+    HOST,
+    KEY,
+    Engine,
+    Seen,
+    chunk,
+    event,
+    head_of,
+    relaying,
+    reset,
+    shed,
+    stream,
+)
+from tests.support import collect
+
+# Takes three engines of 232,000 tokens; the caller waits for long enough.
+HUGE = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 500000,430")
+OPTIONS = {"method": "POST", "body": b"p", "headers": HUGE, "deadline_ms": 15_000}
+
+
+def _document(objective_ms=6_000):
+    from tests.platform.fixtures import configuration, route
+
+    long = route(
+        "chat",
+        "stream",
+        "models",
+        targetGapMs=1_000,
+        timeoutMs=15_000,
+        targetLatencyMs=objective_ms,
+    )
+    return configuration(routes=[long])
+
+
+def _held(relay):
+    """Return the reservations that no engine was told to release."""
+    held = set()
+    for engine in relay.engines:
+        for order in engine.orders:
+            if order["operation"] == "reserve" and engine.order_status == 200:
+                held.add(order["id"])
+            elif order["operation"] == "release":
+                held.discard(order["id"])
+    return held
+
+
+async def _settled(relay):
+    await relay.until(lambda: not _held(relay))
+
+
+async def test_parts_are_reserved_before_the_request_and_named_in_it():
+    async with relaying(
+        *[stream(3)] * 4, service="models", document=_document()
+    ) as relay:
+        reply = await relay.call("/chat/x", **OPTIONS)
+        assert reply.status == 200 and reply.complete
+        (seen,) = [s for engine in relay.engines for s in engine.seen]
+        helpers = seen.headers["tanagerkeel-helpers"].split(",")
+        reserved = {
+            f"{engine.address}/{order['id']}"
+            for engine in relay.engines
+            for order in engine.orders
+            if order["operation"] == "reserve"
+        }
+        assert set(helpers) == reserved and len(helpers) >= 2
+        tokens = {o["tokens"] for e in relay.engines for o in e.orders if "tokens" in o}
+        assert all(t <= 232_000 for t in tokens)
+        await _settled(relay)
+
+
+async def test_memory_is_given_back_on_every_way_out():
+    async def breaking(engine: Engine, seen: Seen, writer) -> None:
+        writer.write(head_of(seen, extra=CHUNKED) + chunk(event(1)))
+        await writer.drain()
+        reset(writer)
+
+    async def refusing(engine: Engine, seen: Seen, writer) -> None:
+        await shed(engine, seen, writer)
+
+    for script in (stream(2), breaking, refusing):
+        async with relaying(
+            *[script] * 4, service="models", document=_document()
+        ) as relay:
+            await relay.call("/chat/x", **OPTIONS)
+            assert any(engine.orders for engine in relay.engines)
+            await _settled(relay)
+            assert relay.node.state.ledger.own == ()
+
+
+async def test_a_caller_that_leaves_gives_the_memory_back():
+    async def silent(engine: Engine, seen: Seen, writer) -> None:
+        await asyncio.sleep(3)
+
+    async with relaying(*[silent] * 4, service="models", document=_document()) as relay:
+        host, _, port = relay.node.callers_address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        lines = (
+            "POST /chat/x HTTP/1.1",
+            f"Host: {HOST}",
+            "Content-Length: 0",
+            "Tanagerkeel-Attempt-Id: l1",
+            f"Authorization: Token {KEY}",
+            *HUGE,
+        )
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await relay.until(lambda: relay.sends() == 1)
+        assert _held(relay)
+        writer.close()
+        await _settled(relay)
+
+
+async def test_one_refused_part_gives_all_others_back():
+    async with relaying(
+        *[stream(2)] * 4, service="models", document=_document(1_500)
+    ) as relay:
+        for engine in relay.engines[:2]:
+            engine.order_status = 409
+        reply = await relay.call("/chat/x", **OPTIONS)
+        assert reply.status == 503
+        assert relay.sends() == 0
+        await _settled(relay)
+
+
+async def test_reservations_are_renewed_while_the_request_runs_and_not_after():
+    async def slow(engine: Engine, seen: Seen, writer) -> None:
+        await asyncio.sleep(2.3)
+        await stream(2)(engine, seen, writer)
+
+    async with relaying(*[slow] * 4, service="models", document=_document()) as relay:
+        assert (await relay.call("/chat/x", **OPTIONS)).status == 200
+        await _settled(relay)
+        orders = [o for e in relay.engines for o in e.orders]
+        first = next(o["id"] for o in orders if o["operation"] == "reserve")
+        renewals = [o for o in orders if o.get("id") == first and "tokens" in o]
+        assert len(renewals) >= 3
+        # Short enough that a node that dies leaves nothing for long.
+        assert {o["holdMs"] for o in renewals} == {3_000}
+        count = len(orders)
+        await asyncio.sleep(1.2)
+        assert len([o for e in relay.engines for o in e.orders]) == count
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
--- /dev/null
+++ b/tests/test_relay_watching.py
@@ -0,0 +1,144 @@
+"""Two watchers of a failure domain tell the others, who never believe too much."""
+
+import asyncio
+
+import attrs
+
+from tanagerkeel.clock import ManualClock
+from tanagerkeel.relay import Batch, ChangeLog, watchers
+from tanagerkeel.relay_entry import RelayBounds, RelaySettings
+from tanagerkeel.relay_entry._follow import ANSWER_KIND, HINT_KIND, Follow, StoreAnswer
+from tanagerkeel.relay_entry._peers import Peer
+from tanagerkeel.relay_entry._state import RelayState
+from tests.support import collect
+
+NODES = {f"n{n}": f"zone-{n % 3}" for n in range(30)}
+
+
+def test_a_small_fleet_watches_whole_and_a_large_one_by_two_of_a_domain():
+    few = {f"n{n}": "zone-0" for n in range(16)}
+    assert set(watchers(few, "zone-0")) == set(few)
+    for domain in ("zone-0", "zone-1", "zone-2"):
+        chosen = watchers(NODES, domain)
+        assert len(chosen) == 2
+        assert {NODES[name] for name in chosen} == {domain}
+
+
+def test_a_watcher_that_goes_away_moves_only_its_own_part():
+    first, second = watchers(NODES, "zone-1")
+    left = {name: its for name, its in NODES.items() if name != first}
+    assert watchers(left, "zone-1")[0] == second
+
+
+def _event(key, revision, size=10):
+    return (key, b"v" * size, revision)
+
+
+def test_changes_are_told_from_any_revision_that_is_remembered():
+    log = ChangeLog()
+    log.add(Batch(10, 12, (_event("a", 11), _event("b", 12))))
+    log.add(Batch(12, 15, (("a", None, 15),)))
+    assert [e[0] for e in log.since(10)] == ["a", "b", "a"]
+    assert [e[0] for e in log.since(12)] == ["a"]
+    # In the middle of a batch: all of it is told once more.
+    assert [e[0] for e in log.since(11)] == ["a", "b", "a"]
+    assert log.since(9) is None
+    assert log.since(15) is None
+
+
+def test_a_gap_or_too_much_is_not_told():
+    log = ChangeLog()
+    log.add(Batch(10, 12, (_event("a", 11),)))
+    log.add(Batch(20, 21, (_event("b", 21),)))
+    assert log.since(12) is None
+    assert [e[0] for e in log.since(20)] == ["b"]
+    log.add(Batch(21, 22, (_event("op", 22, 50_000),)))
+    assert log.since(21) is None
+
+
+@attrs.define
+class _News:
+    """Hands messages to another node's tasks, or drops them."""
+
+    handlers: dict = attrs.field(factory=dict)
+    sent: list = attrs.field(factory=list)
+    far: "_News | None" = None
+    name: str = ""
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send_to(self, peer, kind, message):
+        from tanagerkeel import codec
+
+        self.sent.append((kind, message))
+        if self.far is not None:
+            payload = codec.pack_compact(message)
+            asyncio.get_running_loop().call_soon(
+                self.far.handlers[kind], self.name, payload
+            )
+        return True
+
+
+def _node(name, clock):
+    settings = RelaySettings(name, "zone-a", *["127.0.0.1:0"] * 5, bounds=RelayBounds())
+    state = RelayState(settings, clock)
+    news = _News(name=name)
+    return state, news, Follow(state, news)
+
+
+def _pair():
+    clock = ManualClock()
+    asker, watcher = _node("n1", clock), _node("n2", clock)
+    asker[1].far, watcher[1].far = watcher[1], asker[1]
+    for state, other in ((asker[0], "n2"), (watcher[0], "n1")):
+        state.peers.put(Peer(other, "zone-a", "127.0.0.1:1", 1))
+    return clock, asker, watcher
+
+
+async def test_an_answer_tells_what_changed_and_how_old_the_word_is():
+    clock, (_, _, asker), (state, _, watcher) = _pair()
+    peer = Peer("n2", "zone-a", "127.0.0.1:1", 1)
+    watcher.revision = 12
+    watcher.log.add(Batch(10, 12, (_event("servers/i", 12),)))
+    state.confirmed_s = clock.boottime()
+    # Time in which the watcher stood still counts as well.
+    clock.suspend(1.2)
+    answer = await asker.ask(peer, 10)
+    assert answer.told and [e[0] for e in answer.events] == ["servers/i"]
+    assert 1_200 <= answer.age_ms <= 1_210
+    answer = await asker.ask(peer, 12)
+    assert answer.told and answer.events == ()
+    answer = await asker.ask(peer, 3)
+    assert not answer.told
+
+
+async def test_a_late_or_invented_answer_is_dropped():
+    _, (_, news, asker), _ = _pair()
+    from tanagerkeel import codec
+
+    forged = codec.pack_compact(StoreAnswer(99, 50, 0, True))
+    news.handlers[ANSWER_KIND]("n2", forged)
+    news.far = None
+    assert await asker.ask(Peer("n2", "zone-a", "127.0.0.1:1", 1), 1) is None
+    # The answer to a question that was given up is nobody's any more.
+    news.handlers[ANSWER_KIND]("n2", codec.pack_compact(StoreAnswer(1, 50, 0, True)))
+
+
+async def test_a_hint_wakes_only_who_is_behind():
+    _, (_, _, asker), (_, _, watcher) = _pair()
+    asker.revision = 12
+    loop = asyncio.get_running_loop()
+    watcher.tell_changed(12)
+    started = loop.time()
+    await asker.wait_hint(0.05)
+    assert loop.time() - started >= 0.04
+    watcher.tell_changed(13)
+    started = loop.time()
+    await asker.wait_hint(1.0)
+    assert loop.time() - started < 0.5
+    assert HINT_KIND in watcher._news.handlers
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
