Tell configurations of some hundred routes between nodes

Change: told values are compressed, so that a configuration of some hundred routes fits into an answer; a damaged or overlong one is read from the store. Ruled out: a delta against the version before, as a deflate window is shorter than the document.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -38,7 +38,13 @@
     estimate,
 )
 from tanagerkeel.relay._retry_shares import RetryShare
-from tanagerkeel.relay._watching import Batch, ChangeLog, StoreEvent, watchers
+from tanagerkeel.relay._watching import (
+    Batch,
+    ChangeLog,
+    StoreEvent,
+    unpack_value,
+    watchers,
+)
 
 __all__ = [
     "PEER_SILENCE_S",
@@ -79,6 +85,7 @@
     "pass_ms",
     "read_ms",
     "step_ms",
+    "unpack_value",
     "watchers",
     "write_ms",
 ]
--- a/src/tanagerkeel/relay/_watching.py
+++ b/src/tanagerkeel/relay/_watching.py
@@ -7,12 +7,13 @@
 """
 
 import collections
+import zlib
 
 import attrs
 
 from tanagerkeel.rendezvous import rendezvous
 
-__all__ = ["Batch", "ChangeLog", "StoreEvent", "watchers"]
+__all__ = ["Batch", "ChangeLog", "StoreEvent", "unpack_value", "watchers"]
 
 # Up to so many nodes all of them watch: the calls are few, and nothing stands between
 # a node and the store.
@@ -21,9 +22,11 @@
 WATCHERS = 2
 # Batches that a watcher remembers; a node that is further behind asks the store.
 MAX_BATCHES = 64
-# Events in one datagram, in bytes: a few entries of backend servers. A configuration
-# is larger, and is read from the store.
-MAX_TOLD_BYTES = 4_000
+# Events in one datagram, in bytes once compressed: a configuration of some hundred
+# routes, or a few dozen entries of backend servers. More is read from the store.
+MAX_TOLD_BYTES = 12_000
+# What a told value may become when it is unpacked, in bytes: the store's own bound.
+MAX_VALUE_BYTES = 1_048_576
 
 # Key, value (None when it is deleted) and revision of a change.
 StoreEvent = tuple[str, bytes | None, int]
@@ -50,16 +53,41 @@
     :param after: the revision that was seen before them.
     :param revision: the revision that they lead to.
     :param events: the changes, in order.
+    :param packed: the same with their values compressed, as they are told.
     """
 
     after: int
     revision: int
     events: tuple[StoreEvent, ...] = attrs.field(repr=False)
+    packed: tuple[StoreEvent, ...] = attrs.field(init=False, repr=False)
+
+    @packed.default
+    def _pack(self) -> tuple[StoreEvent, ...]:
+        return tuple(
+            (key, None if value is None else zlib.compress(value), revision)
+            for key, value, revision in self.events
+        )
 
     @property
     def size(self) -> int:
         """Bytes that it takes to tell it."""
-        return sum(len(key) + len(value or b"") + 16 for key, value, _ in self.events)
+        return sum(len(key) + len(value or b"") + 16 for key, value, _ in self.packed)
+
+
+def unpack_value(data: bytes) -> bytes:
+    """
+    Return the value that was told.
+
+    :raises ValueError: when it can't be unpacked, or would be too large.
+    """
+    unpacking = zlib.decompressobj()
+    try:
+        value = unpacking.decompress(data, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"a told value is damaged: {error}") from error
+    if not unpacking.eof:
+        raise ValueError(f"a told value is over {MAX_VALUE_BYTES} bytes, or cut off")
+    return value
 
 
 @attrs.define
@@ -84,11 +112,12 @@
         """
         Return the changes after a revision; None when they can't be told here.
 
-        Changes before it may come once more: what they lead to is the same.
+        Their values are compressed. Changes before the revision may come once more:
+        what they lead to is the same.
         """
         due = [b for b in self._batches if b.revision > revision]
         if not due or due[0].after > revision:
             return None
         if sum(batch.size for batch in due) > MAX_TOLD_BYTES:
             return None
-        return tuple(event for batch in due for event in batch.events)
+        return tuple(event for batch in due for event in batch.packed)
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -16,7 +16,7 @@
     PlatformUnavailable,
     WatchedStore,
 )
-from tanagerkeel.relay import Batch, watchers
+from tanagerkeel.relay import Batch, unpack_value, watchers
 from tanagerkeel.relay_entry._facts import (
     BackendFact,
     DomainOutFact,
@@ -35,14 +35,19 @@
 # that is young: less than half of the usual bound on revoked keys, so that an outage
 # leaves more than half of it. Each call has its price.
 WATCH_MS = 2_200
+# The same for a node that watches for others, whose word is older by the time between
+# two questions. There are few such nodes.
+SHARED_WATCH_MS = 1_000
 # After a change so much of the bound on backend servers that leave passes until the
 # next call, so that changes in quick succession cost one call together.
 GATHER_SHARE = 0.3
+# The same for a node that watches for others.
+SHARED_GATHER_SHARE = 0.1
 # A node that follows asks so often, in seconds; watchers tell it of changes besides.
-ASK_S = 0.9
+ASK_S = 0.8
 # A watcher whose own confirmation is older has lost the store, in seconds: more than
-# a whole watch and the time of a slow answer.
-MAX_ANSWER_AGE_S = WATCH_MS / 1_000 + 0.8
+# a whole watch, the pause after a change, and a slow answer.
+MAX_ANSWER_AGE_S = 2.5
 # A node that no watcher answers watches by itself for this time, in seconds.
 DIRECT_S = 5.0
 # First and longest bound of the pause after a failed call, in seconds. The platform
@@ -74,9 +79,15 @@
     _reachable: bool | None = None
     _gather: bool = False
 
+    @property
+    def _shares(self) -> bool:
+        """Whether this node watches for others."""
+        return len(self._state.peers.domains) > len(self._watchers)
+
     @property
     def _gather_s(self) -> float:
-        return GATHER_SHARE * self._state.settings.bounds.drain_ms / 1_000
+        share = SHARED_GATHER_SHARE if self._shares else GATHER_SHARE
+        return share * self._state.settings.bounds.drain_ms / 1_000
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -85,7 +96,7 @@
                 if self._follows:
                     await self.follow()
                     continue
-                await self.step()
+                await self.step(SHARED_WATCH_MS if self._shares else WATCH_MS)
                 if self._gather:
                     await self._state.clock.sleep(self._gather_s)
             except PlatformUnavailable as error:
@@ -132,12 +143,12 @@
 
     async def _take_answer(self, answer: StoreAnswer, asked_s: float) -> None:
         if answer.revision > self._follow.revision:
-            if not answer.told:
+            events = self._unpack(answer) if answer.told else None
+            if events is None:
                 # Too much for a datagram: one call brings it.
                 await self.step(wait_ms=0)
                 return
-            for key, value, revision in answer.events:
-                event = key if value is None else Entry(key, value, revision)
+            for event in events:
                 self._take_event(event, answer.revision)
             self._follow.revision = answer.revision
         self._reached()
@@ -145,6 +156,16 @@
         self._state.confirmed_s = max(self._state.confirmed_s, confirmed_s)
         self._state.expire()
 
+    def _unpack(self, answer: StoreAnswer) -> list[Entry | str] | None:
+        try:
+            return [
+                key if value is None else Entry(key, unpack_value(value), revision)
+                for key, value, revision in answer.events
+            ]
+        except ValueError as error:
+            log(LogEvent.PEER_MESSAGE_DROPPED, sender="watcher", reason=str(error))
+            return None
+
     async def step(self, wait_ms: int = WATCH_MS) -> None:
         """
         Make one call and take in its answer.
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -185,6 +185,11 @@
                 stderr=log,
             )
 
+    def last_words(self) -> str:
+        """Return how the process ended, if it has, and its last log lines."""
+        lines = self.settings.with_suffix(".log").read_text().splitlines()
+        return f"exit code {self.process.returncode}; " + " | ".join(lines[-3:])
+
     def send(self, number: int) -> None:
         if self.process is not None and self.process.returncode is None:
             os.kill(self.process.pid, number)
@@ -406,7 +411,9 @@
         for name in self.faults:
             self.faults[name] = 0.0
         if not await self._all_ready(RECOVER_S):
-            self.broken("RECOVER a node isn't ready after the last fault")
+            for node in self.nodes:
+                if not await _ready(node):
+                    self.broken(f"RECOVER {node.name} isn't ready: {node.last_words()}")
             return
         served = 0
         for number, node in enumerate(self.nodes):
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -1,11 +1,13 @@
 """Two watchers of a failure domain tell the others, who never believe too much."""
 
 import asyncio
+import json
+import random
 
 import attrs
 
 from tanagerkeel.clock import ManualClock
-from tanagerkeel.relay import Batch, ChangeLog, watchers
+from tanagerkeel.relay import Batch, ChangeLog, unpack_value, watchers
 from tanagerkeel.relay_entry import RelayBounds, RelaySettings
 from tanagerkeel.relay_entry._follow import ANSWER_KIND, HINT_KIND, Follow, StoreAnswer
 from tanagerkeel.relay_entry._peers import Peer
@@ -52,10 +54,37 @@
     log.add(Batch(20, 21, (_event("b", 21),)))
     assert log.since(12) is None
     assert [e[0] for e in log.since(20)] == ["b"]
-    log.add(Batch(21, 22, (_event("op", 22, 50_000),)))
+    log.add(Batch(21, 22, (("op", random.Random(1).randbytes(50_000), 22),)))
     assert log.since(21) is None
 
 
+def test_a_configuration_of_some_hundred_routes_fits_into_an_answer():
+    source = random.Random(5)
+    routes = [
+        {
+            "name": f"r-{source.randrange(16**7):07x}",
+            "host": f"{source.randrange(16**5):05x}.example",
+            "prefix": f"/{source.randrange(16**6):06x}/",
+            "kind": "stream",
+            "timeout": 10_000,
+            "objective": 300,
+            "service": "models",
+        }
+        for _ in range(120)
+    ]
+    value = json.dumps(routes).encode()
+    log = ChangeLog()
+    log.add(Batch(1, 2, (("op", value, 2),)))
+    ((_, told, _),) = log.since(1)
+    assert unpack_value(told) == value
+    for damaged in (told[:-5], b"", b"no", told[:20] + b"\xff" + told[21:]):
+        try:
+            unpack_value(damaged)
+        except ValueError:
+            continue
+        raise AssertionError(f"{damaged[:20]!r} was taken")
+
+
 @attrs.define
 class _News:
     """Hands messages to another node's tasks, or drops them."""
