Leave a store that is away to the watchers

Change: while the watchers answer that they have lost the store, a node that follows tries it every 2.5 s. The test counts the calls of ten seconds and fails without it. Ruled out: a longer pause after every failed call, which would delay the six nodes whose word the others wait for.

--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -50,6 +50,9 @@
 MAX_ANSWER_AGE_S = 2.5
 # A node that no watcher answers watches by itself for this time, in seconds.
 DIRECT_S = 5.0
+# While the watchers answer that they have lost the store, a node that follows tries it
+# so often by itself, in seconds: the store may turn away some nodes and not others.
+TRY_AGAIN_S = 2.5
 # First and longest bound of the pause after a failed call, in seconds. The platform
 # counts refused calls too; a configuration must be in force two seconds after.
 RETRY_BASE_S = 0.1
@@ -74,6 +77,7 @@
     _random: random.Random
     _follow: Follow
     _direct_until_s: float = 0.0
+    _try_again_s: float = 0.0
     _failures: int = 0
     # None before the first call has ended.
     _reachable: bool | None = None
@@ -122,23 +126,35 @@
         return watchers(nodes, settings.failure_domain)
 
     async def follow(self) -> None:
-        """Ask the watchers once, and watch directly for a while if none answers."""
-        asked_s = self._state.clock.boottime()
+        """Ask the watchers once, and try the store directly if they don't know."""
+        answered = False
         for name in self._watchers:
             peer = self._state.peers.get(name)
             if peer is None:
                 continue
             asked_s = self._state.clock.boottime()
             answer = await self._follow.ask(peer, self._follow.revision)
-            if answer is not None and 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
+            if answer is None:
+                continue
+            answered = True
+            if 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
                 await self._take_answer(answer, asked_s)
                 await self._follow.wait_hint(ASK_S)
                 return
+        now = self._state.clock.monotonic()
+        if answered and now < self._try_again_s:
+            # They have lost the store, and so had this node lately.
+            self._state.backends.store_lost()
+            await self._follow.wait_hint(ASK_S)
+            return
+        self._try_again_s = now + TRY_AGAIN_S
         log(
             LogEvent.WATCHERS_SILENT,
             watchers=list(self._watchers),
+            answered=answered,
             confirmed_age_s=self._confirmed_age(),
         )
+        await self.step(wait_ms=0)
         self._direct_until_s = self._state.clock.monotonic() + DIRECT_S
 
     async def _take_answer(self, answer: StoreAnswer, asked_s: float) -> None:
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -7,11 +7,13 @@
 import attrs
 
 from tanagerkeel.clock import ManualClock
+from tanagerkeel.gateways.platform import PlatformUnavailable
 from tanagerkeel.relay import Batch, ChangeLog, unpack_value, watchers
 from tanagerkeel.relay_entry import RelayBounds, RelaySettings
 from tanagerkeel.relay_entry._follow import ANSWER_KIND, HINT_KIND, Follow, StoreAnswer
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._state import RelayState
+from tanagerkeel.relay_entry._store_task import StoreTask
 from tests.support import collect
 
 NODES = {f"n{n}": f"zone-{n % 3}" for n in range(30)}
@@ -169,5 +171,45 @@
     assert HINT_KIND in watcher._news.handlers
 
 
+@attrs.define
+class _Store:
+    """A store that is away, and counts who asks."""
+
+    calls: int = 0
+
+    async def changes(self, prefix, after, wait_ms):
+        self.calls += 1
+        raise PlatformUnavailable("status 503")
+
+
+async def test_in_an_outage_those_that_follow_leave_the_calls_to_the_watchers():
+    # The load pattern: each call to a store that is down is priced like any other, and
+    # each of many nodes would make several a second.
+    clock, (state, _, asker), (far_state, _, watcher) = _pair()
+    for n in range(3, 30):
+        state.peers.put(Peer(f"n{n}", "zone-b", "127.0.0.1:1", 1))
+    state.peers.put(Peer("n1", "zone-a", "127.0.0.1:1", 1))
+    state.peers.put(Peer("n0", "zone-a", "127.0.0.1:1", 1))
+    asker.revision = watcher.revision = 12
+    far_state.confirmed_s = clock.boottime() - 10.0
+    store = _Store()
+    task = StoreTask(store, None, state, random.Random(1), asker)
+    tried = 0
+    for _ in range(20):
+        # A hint ends the pause between two questions.
+        asker._hinted.set()
+        try:
+            await task.follow()
+        except PlatformUnavailable:
+            tried += 1
+        clock.advance(0.5)
+    # Ten seconds: a try each 2.5 s.
+    assert tried == store.calls <= 5
+    far_state.confirmed_s = clock.boottime() - 0.5
+    asker._hinted.set()
+    await task.follow()
+    assert abs(state.confirmed_age_s - 0.5) < 0.01
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
