--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -18,6 +18,7 @@
     ServiceSpec,
     WeightedService,
 )
+from tanagerkeel.relay._estimate import Candidate, Demand, Estimate, estimate
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
 from tanagerkeel.relay._ledger import PEER_SILENCE_S, Ledger, Work
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
@@ -29,16 +30,10 @@
     step_ms,
     write_ms,
 )
-from tanagerkeel.relay._placement import (
-    Candidate,
-    Demand,
-    Estimate,
-    Placement,
-    choose,
-    estimate,
-)
+from tanagerkeel.relay._placement import Placement, choose
 from tanagerkeel.relay._retry_shares import RetryShare
 from tanagerkeel.relay._watching import (
+    SMALL_FLEET,
     Batch,
     ChangeLog,
     StoreEvent,
@@ -48,6 +43,7 @@
 
 __all__ = [
     "PEER_SILENCE_S",
+    "SMALL_FLEET",
     "BackendServer",
     "BackendTable",
     "Batch",
--- a/src/tanagerkeel/relay/_watching.py
+++ b/src/tanagerkeel/relay/_watching.py
@@ -13,7 +13,14 @@
 
 from tanagerkeel.rendezvous import rendezvous
 
-__all__ = ["Batch", "ChangeLog", "StoreEvent", "unpack_value", "watchers"]
+__all__ = [
+    "SMALL_FLEET",
+    "Batch",
+    "ChangeLog",
+    "StoreEvent",
+    "unpack_value",
+    "watchers",
+]
 
 # Up to so many nodes all of them watch: the calls are few, and nothing stands between
 # a node and the store.
--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -6,10 +6,12 @@
 from tanagerkeel.relay import CallerRequest, ClientAccount, Route, ServiceSpec
 from tanagerkeel.relay_entry._state import RelayState
 
-__all__ = ["ELSEWHERE_S", "Admitted", "Refusal", "admit"]
+__all__ = ["ELSEWHERE_S", "RETRY_AFTER_S", "Admitted", "Refusal", "admit"]
 
 # Another node may know more: a caller may come back to one almost at once, in seconds.
 ELSEWHERE_S = 0.05
+# When coming back helps although nothing is known of it, in seconds.
+RETRY_AFTER_S = 0.3
 # Until this node knows more of the platform, in seconds.
 UNCONFIRMED_S = 0.2
 
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -21,7 +21,7 @@
     seal_frame,
 )
 from tanagerkeel.quarantine import QuarantineEntry
-from tanagerkeel.relay import Work
+from tanagerkeel.relay import SMALL_FLEET, Work
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import PresenceTask
 from tanagerkeel.relay_entry._state import RelayState
@@ -42,9 +42,6 @@
 REPEAT_S = 2.0
 # The same for a node that runs nothing.
 IDLE_REPEAT_S = 4.0
-# Up to so many peers all of them are told of everything at once. Beyond it, short
-# work on engines of the node's own failure domain is told there first.
-SMALL_FLEET = 16
 # A datagram with more would not fit into a usual network's packets.
 MAX_WORKS = 64
 MAX_SUSPECTS = 8
@@ -217,7 +214,9 @@
     def _soon(self, delay_s: float, wide: bool) -> None:
         loop = asyncio.get_running_loop()
         due_s = loop.time() + delay_s
-        if wide or len(self._state.peers.others) <= SMALL_FLEET:
+        # In a small fleet all are told of everything at once. In a larger one, short
+        # work on engines of the node's own failure domain is told there first.
+        if wide or len(self._state.peers.others) < SMALL_FLEET:
             if self._all_due is None or self._all_due.when() > due_s:
                 self._cancel()
                 self._all_due = loop.call_later(delay_s, self._tell_all)
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -85,7 +85,6 @@
             self._backends,
             self._news,
             self._metrics,
-            self._random,
         )
 
     @property
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -64,10 +64,12 @@
 
     :param pool: connections to backend servers.
     :param codec: writes orders and reads answers.
+    :param longest_hold_ms: bound of the deployment on a term, in milliseconds.
     """
 
     _pool: ConnectionPool
     _codec: BackendCodec
+    _longest_hold_ms: int = HOLD_MS
     _background: Background = attrs.field(factory=Background)
 
     async def reserve_all(
@@ -122,7 +124,8 @@
         await self._background.drain()
 
     async def _reserve(self, reservation: Reservation) -> bool:
-        order = ReserveMemory(reservation.reservation_id, reservation.tokens, HOLD_MS)
+        hold_ms = min(HOLD_MS, self._longest_hold_ms)
+        order = ReserveMemory(reservation.reservation_id, reservation.tokens, hold_ms)
         return await self._order(reservation.server, order) == STATUS_DONE
 
     async def _release(self, reservation: Reservation) -> None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -233,6 +233,7 @@
     version: int = 2
     born: int = 1_700_000_000_000
     source: random.Random = attrs.field(init=False)
+    _faults: set[asyncio.Task] = attrs.field(init=False, factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.source = random.Random(self.seed)
@@ -316,15 +317,15 @@
         while time.monotonic() < end:
             await asyncio.sleep(self.source.uniform(0.05, 0.5))
             fault = asyncio.create_task(self._fault())
+            self._faults.add(fault)
+            fault.add_done_callback(self._faults.discard)
             # Faults overlap: most are still in force when the next one comes.
             if self.source.random() < 0.3:
                 await fault
         stop.set()
-        pending = [t for t in asyncio.all_tasks() if t.get_name() == "fault"]
-        await asyncio.gather(*clients, *pending)
+        await asyncio.gather(*clients, *self._faults)
 
     async def _fault(self) -> None:
-        asyncio.current_task().set_name("fault")
         for_s = self.source.uniform(0.2, 2.0)
         faults = (self._node_fault, self._outside_fault, self._change)
         await self.source.choice(faults)(for_s)
