Tell a cut failure domain from crashed engines

Peers also told such "crashes" to nodes whose way crosses no cut. Behind the cut each request tried up to eight engines in turn. Change: losses of two backend servers of one failure domain with no word from another one there make it suspect (new work avoids it), four make it cut off (what may be sent again moves). A death is proven only when the domain is heard. Silence on a connection counts as no loss, as a long queue looks the same. Ruled out: counting silence as a loss (overloaded engines looked cut off).

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -25,6 +25,7 @@
     RESET = "the connection broke"
     ENDED = "the connection ended before the answer did"
     MALFORMED = "the bytes are no answer"
+    GIVEN_UP = "this node gave it up"
 
 
 @attrs.frozen
@@ -154,6 +155,12 @@
                     self._transport.resume_reading()
         return event
 
+    def give_up(self) -> None:
+        """End the answer for who waits for it, and the connection with it."""
+        if self._open:
+            self._end(Broken.GIVEN_UP)
+            self._transport.abort()
+
     def abort(self) -> None:
         """End the connection at once; the other side stops its work."""
         self._spoilt = True
--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from tanagerkeel.relay._reach import DomainReach
+
 __all__ = ["BackendServer", "BackendTable", "Belief", "Mishap", "ServerState"]
 
 # Entries that lapsed in an outage are back about two seconds after its end (pages of
@@ -137,6 +139,7 @@
 
     _beliefs: dict[str, Belief] = attrs.field(factory=dict)
     _domains_out: set[str] = attrs.field(factory=set)
+    _reach: DomainReach = attrs.field(factory=DomainReach)
     _away: bool = False
     _back_s: float = float("-inf")
 
@@ -257,6 +260,9 @@
             case Mishap.UNREACHABLE | Mishap.SILENT:
                 belief.failures += 1
                 belief.lost_s = now
+                if mishap is Mishap.UNREACHABLE:
+                    # Silence on a connection may just be a long queue.
+                    self._reach.lost(server.failure_domain, server.backend_id, now)
                 pause_s = min(LONGEST_SHUN_S, SHUN_S * 2 ** (belief.failures - 1))
                 belief.shunned_until_s = now + pause_s
             case Mishap.MISDIRECTED:
@@ -265,7 +271,7 @@
                 belief.refused_s = now
             case Mishap.ERROR | Mishap.SHED:
                 belief.failures += 1
-                belief.heard_s = now
+                self._hear(belief, now)
             case Mishap.BROKEN | Mishap.WRONG_ANSWER:
                 belief.failures += 1
 
@@ -282,7 +288,8 @@
             return
         self._count(belief, 0.0, now)
         belief.failures = 0
-        belief.success_s = belief.heard_s = now
+        belief.success_s = now
+        self._hear(belief, now)
         belief.shunned_until_s = min(belief.shunned_until_s, now)
         if pace is not None:
             sample = min(MAX_PACE, max(1.0 / MAX_PACE, pace))
@@ -292,16 +299,48 @@
         """
         Return whether none of a service's backend servers can be reached from here.
 
-        So it is when the last word of each usable one is a failure to reach it.
+        So it is when the last word of each usable one is a failure to reach it, or
+        its whole failure domain is cut off.
         """
         usable = list(self.usable(service, now))
-        return bool(usable) and all(b.lost_s > b.heard_s for b in usable)
+        return bool(usable) and all(
+            b.lost_s > b.heard_s or self._reach.cut_off(b.server.failure_domain, now)
+            for b in usable
+        )
+
+    def domain_suspected(self, domain: str, now: float) -> bool:
+        """Return whether new work should avoid a failure domain that may be cut off."""
+        return self._reach.suspected(domain, now)
+
+    def domain_cut_off(self, domain: str, now: float) -> bool:
+        """Return whether a failure domain can't be reached from here."""
+        return self._reach.cut_off(domain, now)
+
+    def domain_losses(self, domain: str, now: float) -> int:
+        """Return how many backend servers were lost since a domain was last heard."""
+        return self._reach.losses(domain, now)
+
+    def in_domain(self, domain: str) -> Iterator[Belief]:
+        """Yield the backend servers of a failure domain that are ready."""
+        return (
+            belief
+            for belief in self._beliefs.values()
+            if belief.server.failure_domain == domain
+            and belief.server.state is ServerState.READY
+            and belief.missing_s is None
+        )
+
+    def heard(self, server: BackendServer, now: float) -> None:
+        """Take in that bytes arrived from a backend server."""
+        belief = self._beliefs.get(server.backend_id)
+        if belief is not None and belief.server.same_life(server):
+            self._hear(belief, now)
 
     def reached(self, server: BackendServer, now: float) -> None:
         """Take in that a connection to a backend server came up."""
         belief = self._beliefs.get(server.backend_id)
         if belief is not None and belief.server.same_life(server):
-            belief.heard_s = now
+            self._hear(belief, now)
             belief.failures = 0
             belief.shunned_until_s = min(belief.shunned_until_s, now)
 
@@ -312,9 +351,16 @@
             belief.refused_s = now
 
     def refusing(self, now: float) -> tuple[str, ...]:
-        """Return the backend servers that this node just found gone."""
+        """
+        Return the backend servers that this node just found gone.
+
+        Connections over a cut are refused as those to a crashed process are.
+        """
         return tuple(
-            name for name, b in self._beliefs.items() if now - b.refused_s <= TOLD_S
+            name
+            for name, b in self._beliefs.items()
+            if now - b.refused_s <= TOLD_S
+            and not self._reach.suspected(b.server.failure_domain, now)
         )
 
     def told_gone(self, backend_id: str, now: float) -> None:
@@ -332,6 +378,10 @@
     def _may_reappear(self, now: float) -> bool:
         return self._away or now < self._back_s + REAPPEAR_S
 
+    def _hear(self, belief: Belief, now: float) -> None:
+        belief.heard_s = now
+        self._reach.heard(belief.server.failure_domain)
+
     def _count(self, belief: Belief, failed: float, now: float) -> None:
         share = belief.failing(now)
         belief.failure_share = share + OUTCOME_WEIGHT * (failed - share)
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -60,7 +60,7 @@
         self.reason = reason
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Attempt:
     """
     Sends a request to one backend server.
@@ -94,6 +94,18 @@
         """The backend server that runs the request."""
         return self._placement.candidate.server
 
+    def domain_cut_off(self, domain: str) -> None:
+        """
+        Let another backend server take over when this one is behind a cut.
+
+        :param domain: the failure domain that can't be reached.
+        """
+        readers = (r.server.failure_domain for r in self._placement.readers)
+        if self._connection is None or domain not in readers:
+            return
+        if self._may_switch():
+            self._connection.give_up()
+
     async def carry_out(self) -> Outcome:
         """Send the request and pass its answer on."""
         run = self._run
@@ -256,11 +268,14 @@
         match event:
             case None:
                 raise TimeoutError
+            case Broken.GIVEN_UP:
+                raise _Spoilt(Mishap.SILENT, "its failure domain is cut off")
             case Broken.MALFORMED:
                 raise _Spoilt(Mishap.WRONG_ANSWER, event.value)
             case Broken():
                 raise _Spoilt(Mishap.BROKEN, event.value)
             case _:
+                self._state.heard(self.server)
                 return event
 
     async def _within(
--- a/src/tanagerkeel/relay_entry/_judge.py
+++ b/src/tanagerkeel/relay_entry/_judge.py
@@ -22,6 +22,11 @@
 
 __all__ = ["Judge"]
 
+# A refused connection is taken for a death only after this time, in seconds, when
+# others of the failure domain were lost as well: the looking task has tried some more
+# by then, and a connection over a cut is refused as one to a crashed process is.
+CONFIRM_S = 0.4
+
 
 @attrs.define
 class Judge:
@@ -52,7 +57,7 @@
             case NotSent():
                 mishap = Mishap.UNREACHABLE
                 if outcome.crashed:
-                    self._crashed(server)
+                    self._refused(server)
                     self._news.urgent()
             case NotRun(misdirected=True):
                 mishap = Mishap.MISDIRECTED
@@ -97,14 +102,29 @@
             connection = await self._pool.take(server.address, 0.0)
         except NoConnection as error:
             if error.refused:
-                self._crashed(server)
+                self._refused(server)
             self._state.failed(server, Mishap.UNREACHABLE, "")
         else:
             self._pool.give_back(connection)
 
-    def _crashed(self, server: BackendServer) -> None:
+    def _refused(self, server: BackendServer) -> None:
         now = self._state.clock.monotonic()
         self._state.backends.refused(server, now)
+        if not self._state.backends.domain_losses(server.failure_domain, now):
+            self._died(server)
+            return
+        task = asyncio.create_task(self._confirm_death(server))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _confirm_death(self, server: BackendServer) -> None:
+        await self._state.clock.sleep(CONFIRM_S)
+        now = self._state.clock.monotonic()
+        if not self._state.backends.domain_suspected(server.failure_domain, now):
+            self._died(server)
+
+    def _died(self, server: BackendServer) -> None:
+        now = self._state.clock.monotonic()
         quarantine = self._state.quarantine
         for fingerprint in quarantine.died(server.backend_id, now, str(server.born_ms)):
             log(
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -205,7 +205,7 @@
         for entry in news.suspects:
             self._state.quarantine.learn(entry, now)
         for backend_id in news.gone:
-            self._state.backends.told_gone(backend_id, now)
+            self._state.told_gone(frame.sender, backend_id)
         self._state.changed()
 
     def error_received(self, error: OSError) -> None:
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -90,6 +90,14 @@
             # All failed lately: the one that failed first may be back.
             usable.sort(key=lambda b: b.shunned_until_s)
             rested = [b for b in usable if b.shunned_until_s < float("inf")][:1]
+        # A failure domain that may be cut off gets work only if no other one can.
+        within = [
+            belief
+            for belief in rested
+            if not self._state.backends.domain_suspected(
+                belief.server.failure_domain, now
+            )
+        ]
         home = self._state.settings.failure_domain
         return (
             Candidate(
@@ -101,7 +109,7 @@
                 failing=belief.failing(now),
                 pace=max(1.0, belief.pace),
             )
-            for belief in rested
+            for belief in within or rested
         )
 
     def _warm_enough(self, run: RelayRun, belief: Belief, now: float) -> bool:
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -42,6 +42,7 @@
     _codec: BackendCodec
     _news: NewsTask
     _metrics: RelayMetrics
+    _attempts: set[Attempt] = attrs.field(factory=set)
     _judge: Judge = attrs.field()
     _reservations: Reservations = attrs.field()
 
@@ -54,6 +55,13 @@
         hold_ms = self._state.settings.bounds.longest_hold_ms
         return Reservations(self._pool, self._codec, hold_ms)
 
+    def __attrs_post_init__(self) -> None:
+        self._state.on_cut = self._cut_off
+
+    def _cut_off(self, domain: str) -> None:
+        for attempt in tuple(self._attempts):
+            attempt.domain_cut_off(domain)
+
     def take_repeat(self, run: RelayRun) -> bool:
         """Count a send beyond the first if the route and the shared bound allow it."""
         if run.sends_left <= 0:
@@ -140,6 +148,7 @@
         run.sends += 1
         run.unsure = True
         blame_s = 0.0
+        self._attempts.add(attempt)
         try:
             outcome = await attempt.carry_out()
             match outcome:
@@ -156,6 +165,7 @@
             self._judge.judge(run, placement, outcome)
             return outcome
         finally:
+            self._attempts.discard(attempt)
             asyncio.get_running_loop().call_later(
                 blame_s, self._state.quarantine.ended, server.backend_id, send_id
             )
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -57,6 +57,7 @@
     :param quarantine: requests that bring down backend servers.
     :param stopping: whether the node is about to stop.
     :param on_limits: called with the bounds on callers that come into force.
+    :param on_cut: called with a failure domain that is found to be cut off.
     """
 
     settings: RelaySettings
@@ -68,6 +69,7 @@
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     stopping: bool = False
     on_limits: Callable[[CallerLimits], None] | None = None
+    on_cut: Callable[[str], None] | None = None
     peers: PeerTable = attrs.field()
     cold_shares: ColdShares = attrs.field()
     _retry_shares: dict[str, RetryShare] = attrs.field(factory=dict)
@@ -75,6 +77,9 @@
     # When each peer told of its retries, and how many of each service.
     _heard_retries: dict[str, tuple[float, dict[str, int]]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Failure domains that were found suspected or cut off, with the losses then.
+    _domains_lost: dict[str, int] = attrs.field(factory=dict)
+    _look: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @peers.default
     def _no_peers(self) -> PeerTable:
@@ -212,6 +217,7 @@
         """Take in that a send to a backend server failed."""
         now = self.clock.monotonic()
         self.backends.failed(server, mishap, now)
+        self._judge_reach(server.failure_domain, now)
         belief = self.backends.get(server.backend_id)
         if belief is not None and belief.shunned_until_s > now:
             log(
@@ -223,6 +229,67 @@
                 for_s=round(belief.shunned_until_s - now, 2),
             )
 
+    def told_gone(self, sender: str, backend_id: str) -> None:
+        """
+        Take in a peer's word that nothing listens at a backend server's address.
+
+        It counts from a peer of this node's or the backend server's failure domain:
+        between others there may be a cut that this node's way doesn't cross.
+        """
+        peer = self.peers.get(sender)
+        belief = self.backends.get(backend_id)
+        if peer is None or belief is None:
+            return
+        ways = (self.settings.failure_domain, belief.server.failure_domain)
+        if peer.failure_domain in ways:
+            self.backends.told_gone(backend_id, self.clock.monotonic())
+
+    def heard(self, server: BackendServer) -> None:
+        """Take in that bytes arrived from a backend server."""
+        now = self.clock.monotonic()
+        self.backends.heard(server, now)
+        if server.failure_domain in self._domains_lost:
+            self._judge_reach(server.failure_domain, now)
+
+    def reached(self, server: BackendServer) -> None:
+        """Take in that a connection to a backend server came up."""
+        now = self.clock.monotonic()
+        self.backends.reached(server, now)
+        self._judge_reach(server.failure_domain, now)
+        self.changed()
+
+    @property
+    def domains_lost(self) -> tuple[str, ...]:
+        """Failure domains that may be cut off from here."""
+        return tuple(self._domains_lost)
+
+    async def wait_lost(self, longest_s: float) -> None:
+        """Wait until another failure domain may be cut off, at most so many seconds."""
+        self._look.clear()
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._look.wait()
+        except TimeoutError:
+            # It is time to look at what was lost before.
+            return
+
+    def _judge_reach(self, domain: str, now: float) -> None:
+        before = self._domains_lost.get(domain, 0)
+        losses = self.backends.domain_losses(domain, now)
+        if not self.backends.domain_suspected(domain, now):
+            if self._domains_lost.pop(domain, None) is not None:
+                log(LogEvent.DOMAIN_REACHED, domain=domain)
+            return
+        self._domains_lost[domain] = losses
+        if before == 0:
+            log(LogEvent.DOMAIN_SUSPECTED, domain=domain, losses=losses)
+            self._look.set()
+        cut_off = self.backends.domain_cut_off(domain, now)
+        if cut_off and before < losses:
+            log(LogEvent.DOMAIN_CUT_OFF, domain=domain, losses=losses)
+            if self.on_cut is not None:
+                self.on_cut(domain)
+
     def _adopt(self, new: RelayConfiguration, revision: int) -> None:
         old = self.configuration
         if old is not None and new.version <= old.version:
--- /dev/null
+++ b/tests/platform/test_domain_cuts.py
@@ -0,0 +1,175 @@
+"""A failure domain is cut off from a running node, whose callers still come."""
+
+import asyncio
+
+import attrs
+
+from tanagerkeel.relay import Mishap
+from tanagerkeel.relay_entry._peers import Peer
+from tests.platform.fixtures import (
+    CHUNKED,
+    Engine,
+    Seen,
+    chunk,
+    event,
+    head_of,
+    plain,
+    relaying,
+)
+from tests.support import collect
+
+CHAT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 1000,430")
+EVENTS = 30
+# A backend server that is silent is left after 1.4 s; a cut is to be found before.
+BEFORE_SILENCE_S = 1.2
+
+
+@attrs.define
+class Cut:
+    """Engines behind it write nothing more, and take no connections."""
+
+    behind: set[str] = attrs.field(factory=set)
+
+    async def script(
+        self, engine: Engine, seen: Seen, writer: asyncio.StreamWriter
+    ) -> None:
+        first = int(seen.headers.get("last-event-id", 0)) + 1
+        writer.write(head_of(seen, extra=CHUNKED))
+        for number in range(first, EVENTS + 1):
+            while engine.engine_id in self.behind:
+                if writer.is_closing():
+                    return
+                await asyncio.sleep(0.01)
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+
+    def come(self, engines: list[Engine]) -> None:
+        for engine in engines:
+            self.behind.add(engine.engine_id)
+            engine._server.close()
+
+
+def _place(relay, service, domains):
+    """Move engines to failure domains; return where each one is."""
+    for engine, domain in zip(relay.engines, domains, strict=True):
+        entry = engine.entry(service, zone=domain, sequence=2)
+        relay.store.write(f"servers/{engine.engine_id}", entry)
+    wanted = sorted(domains)
+
+    def known():
+        return wanted == sorted(
+            b.server.failure_domain for b in relay.node.state.backends
+        )
+
+    return relay.until(known)
+
+
+def _lose(relay, engines):
+    state = relay.node.state
+    for engine in engines:
+        server = state.backends.get(engine.engine_id).server
+        state.failed(server, Mishap.UNREACHABLE, "another")
+
+
+async def test_a_stream_behind_a_cut_goes_on_elsewhere_before_it_counts_as_silent():
+    cut = Cut()
+    async with relaying(*[cut.script] * 6, service="models") as relay:
+        near, far = relay.engines[0], relay.engines[1:]
+        await _place(relay, "models", ["zone-a"] + ["zone-b"] * 5)
+        # The near one is busy with nothing, but suspected to be down.
+        relay.node.state.backends.get(near.engine_id).shunned_until_s = 1e9
+        call = asyncio.create_task(relay.call("/chat/x", headers=CHAT))
+        await relay.until(lambda: sum(len(e.seen) for e in far) == 1)
+        await asyncio.sleep(0.05)
+        relay.node.state.backends.get(near.engine_id).shunned_until_s = 0.0
+        cut.come(far)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        _lose(relay, [e for e in far if not e.seen][:2])
+        reply = await call
+        assert loop.time() - began < BEFORE_SILENCE_S
+        assert reply.complete
+        assert reply.body == b"".join(event(n) for n in range(1, EVENTS + 1))
+        assert len(near.seen) == 1
+
+
+async def test_new_work_stays_away_from_a_domain_that_may_be_cut_off():
+    async with relaying(*[plain] * 6) as relay:
+        await _place(relay, "booking", ["zone-b"] * 3 + ["zone-c"] * 3)
+        for engine in relay.engines[:3]:
+            engine._server.close()
+        _lose(relay, relay.engines[:2])
+        for number in range(6):
+            assert (
+                await relay.call("/lookup/x", request_id=f"r{number}")
+            ).status == 200
+        assert not any(engine.seen for engine in relay.engines[:3])
+
+
+async def test_crashes_of_several_engines_are_told_from_a_cut_by_looking():
+    async with relaying(*[plain] * 5) as relay:
+        await _place(relay, "booking", ["zone-b"] * 5)
+        for engine in relay.engines[:3]:
+            await engine.stop()
+        _lose(relay, relay.engines[:3])
+        assert relay.node.state.domains_lost == ("zone-b",)
+        await relay.until(lambda: relay.node.state.domains_lost == ())
+        assert (await relay.call("/lookup/x")).status == 200
+
+
+async def resetting(engine: Engine, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Die with the request, as a backend server that it crashes."""
+    await engine.stop()
+    raise ConnectionResetError
+
+
+async def test_connections_refused_over_a_cut_blame_no_request():
+    async with relaying(resetting, resetting, plain, plain) as relay:
+        await _place(relay, "booking", ["zone-b", "zone-b", "zone-c", "zone-c"])
+        for engine in relay.engines[2:]:
+            backends = relay.node.state.backends
+            backends.get(engine.engine_id).shunned_until_s = 1e9
+        await relay.call("/lookup/x", request_id="r1")
+        # Both are found refusing, with no word from their domain in between.
+        await asyncio.sleep(0.6)
+        for engine in relay.engines[2:]:
+            backends.get(engine.engine_id).shunned_until_s = 0.0
+        assert (await relay.call("/lookup/x", request_id="r2")).status == 200
+
+
+async def test_a_request_that_brings_down_engines_is_still_found():
+    async with relaying(resetting, resetting, plain, plain) as relay:
+        await _place(relay, "booking", ["zone-b"] * 4)
+        for engine in relay.engines[2:]:
+            backends = relay.node.state.backends
+            backends.get(engine.engine_id).shunned_until_s = 1e9
+        await relay.call("/lookup/x", request_id="r1")
+        await asyncio.sleep(0.6)
+        for engine in relay.engines[2:]:
+            backends.get(engine.engine_id).shunned_until_s = 0.0
+        assert (await relay.call("/lookup/x", request_id="r2")).status == 503
+        assert not any(engine.seen for engine in relay.engines[2:])
+
+
+async def test_a_peers_word_counts_only_where_it_shares_the_way():
+    async with relaying(plain, plain) as relay:
+        await _place(relay, "booking", ["zone-b", "zone-a"])
+        state = relay.node.state
+        for domain in ("zone-a", "zone-b", "zone-c"):
+            state.peers.put(Peer(f"node-{domain}", domain, "127.0.0.1:9", 1))
+        near = state.backends.get("i-1")
+        far = state.backends.get("i-0")
+        state.told_gone("node-zone-c", "i-0")
+        state.told_gone("node-zone-c", "i-1")
+        state.told_gone("node-zone-b", "i-1")
+        assert near.shunned_until_s == far.shunned_until_s == 0.0
+        state.told_gone("node-zone-b", "i-0")
+        assert far.shunned_until_s > 0.0
+        state.told_gone("node-zone-a", "i-1")
+        assert near.shunned_until_s > 0.0
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
