Pass an engine's own failure on when nothing better follows

Change: the last failure that a backend server answered itself is kept with the request and passed on whenever the node would otherwise answer of its own. Ruled out: passing it on at once; another engine often serves the request.

--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -6,6 +6,7 @@
 from tanagerkeel.errors import ResultCode
 from tanagerkeel.relay import CallerRequest, Demand, RouteKind
 from tanagerkeel.relay_entry._admit import Admitted
+from tanagerkeel.relay_entry._outcomes import Answered
 from tanagerkeel.relay_entry._protocols import CallerReply
 
 __all__ = ["RelayRun"]
@@ -44,6 +45,8 @@
     :param placed_s: when a backend server was first chosen.
     :param last_s: when the last event was passed on.
     :param longest_gap_s: longest pause between events so far, in seconds.
+    :param failure: a backend server's own failure, to be passed on if nothing better
+        comes of the request.
     """
 
     request: CallerRequest
@@ -61,6 +64,7 @@
     placed_s: float | None = None
     last_s: float | None = None
     longest_gap_s: float = 0.0
+    failure: Answered | None = None
     fingerprint: str = attrs.field()
 
     @fingerprint.default
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -151,6 +151,8 @@
                     # Placed again, without the engine that refused.
                     continue
                 case NotRun() | Answered() | Lost():
+                    if isinstance(outcome, Answered):
+                        run.failure = outcome
                     if not self._again(run, outcome):
                         await self._final(run, outcome)
                         return
@@ -169,17 +171,6 @@
 
     async def _final(self, run: RelayRun, outcome: Outcome) -> None:
         match outcome:
-            case Answered() if not run.reply.started:
-                await run.reply.start(outcome.head.status, outcome.head.headers)
-                await run.reply.write(outcome.body)
-                await run.reply.finish()
-                self._metrics.results.labels("backend_error").inc()
-                log(
-                    LogEvent.RELAY_FAILED,
-                    request=run.request.request_id,
-                    reason=f"the backend server answered {outcome.head.status}",
-                    sends=run.sends,
-                )
             case NotRun():
                 code = ResultCode.BACKEND_REFUSED
                 await self._give_up(run, code, outcome.reason)
@@ -188,6 +179,18 @@
             case _:
                 await self._give_up(run, ResultCode.STREAM_BROKEN, "can't go on")
 
+    async def _pass_failure(self, run: RelayRun, failure: Answered) -> None:
+        await run.reply.start(failure.head.status, failure.head.headers)
+        await run.reply.write(failure.body)
+        await run.reply.finish()
+        self._metrics.results.labels("backend_error").inc()
+        log(
+            LogEvent.RELAY_FAILED,
+            request=run.request.request_id,
+            reason=f"a backend server answered {failure.head.status}",
+            sends=run.sends,
+        )
+
     def _finished(
         self, run: RelayRun, placement: Placement, outcome: Delivered
     ) -> None:
@@ -217,6 +220,10 @@
         reason: str,
         refusal: Refusal | None = None,
     ) -> None:
+        if run.failure is not None and not run.reply.started:
+            # It says more than an answer of the node's own would.
+            await self._pass_failure(run, run.failure)
+            return
         if run.reply.started:
             run.reply.break_off()
             self._metrics.results.labels("broken_off").inc()
--- a/tests/platform/test_rules_answers.py
+++ b/tests/platform/test_rules_answers.py
@@ -102,6 +102,17 @@
         assert "tanagerkeel-response-seal" in reply.headers
 
 
+async def test_an_engines_own_failure_is_passed_on_when_the_next_one_is_lost():
+    # Seen on a bench day: the failure became a 502 when the failure domain's other
+    # backend servers were cut off.
+    async with relaying(own_error, torn) as relay:
+        relay.node.state.backends.get("i-1").shunned_until_s = 1e9
+        reply = await relay.call("/lookup/x")
+        assert (reply.status, reply.body) == (500, b"engine error")
+        assert "tanagerkeel-response-seal" in reply.headers
+        assert relay.sends() == 2
+
+
 async def test_a_body_that_ends_with_its_connection_is_whole():
     async with relaying(unframed) as relay:
         reply = await relay.call("/reserve/x", method="POST", body=b"seat")
