Move answers off engines where a very long prompt begins

Change: when news of a long prompt arrive, answers on its engines whose expected pause is 1.5 times their objective go on at another engine, if that begins within 0.9 of it. A move counts as a send and a retry and says nothing against the engine. What is late already keeps a gradient: placement aims at the whole objective once more.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -22,6 +22,7 @@
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
 from tanagerkeel.relay._ledger import PEER_SILENCE_S, Ledger, Work
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
+from tanagerkeel.relay._moving import pause_ahead_ms, worth_moving
 from tanagerkeel.relay._pass_model import (
     Reading,
     Writing,
@@ -30,7 +31,7 @@
     step_ms,
     write_ms,
 )
-from tanagerkeel.relay._placement import Placement, choose
+from tanagerkeel.relay._placement import LONG_TOKENS, Placement, choose
 from tanagerkeel.relay._retry_shares import RetryShare
 from tanagerkeel.relay._watching import (
     SMALL_FLEET,
@@ -43,6 +44,7 @@
 )
 
 __all__ = [
+    "LONG_TOKENS",
     "PEER_SILENCE_S",
     "SMALL_FLEET",
     "BackendServer",
@@ -82,8 +84,10 @@
     "choose",
     "estimate",
     "pass_ms",
+    "pause_ahead_ms",
     "read_ms",
     "step_ms",
     "watchers",
+    "worth_moving",
     "write_ms",
 ]
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -26,7 +26,7 @@
 )
 from tanagerkeel.relay._pass_model import read_ms
 
-__all__ = ["Placement", "choose"]
+__all__ = ["LONG_TOKENS", "Placement", "choose"]
 
 # Work beyond the slots that an engine may be given: it starts the next request
 # itself, without the time that a node takes to learn of a free slot.
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -26,6 +26,7 @@
     Answered,
     Delivered,
     Lost,
+    Moved,
     NotRun,
     NotSent,
     Outcome,
@@ -88,12 +89,29 @@
     _on_first: Callable[[], None]
     _connection: BackendConnection | None = None
     _begun: bool = False
+    _moving: bool = False
 
     @property
     def server(self) -> BackendServer:
         """The backend server that runs the request."""
         return self._placement.candidate.server
 
+    @property
+    def run(self) -> RelayRun:
+        """The request."""
+        return self._run
+
+    @property
+    def movable(self) -> bool:
+        """Whether its answer has begun and may go on at another backend server."""
+        return self._begun and not self._moving and self._run.repeatable
+
+    def move(self) -> None:
+        """Let the answer go on at another backend server, if a retry is left."""
+        if self._may_switch():
+            self._moving = True
+            self._connection.give_up()
+
     def domain_cut_off(self, domain: str) -> None:
         """
         Let another backend server take over when this one is behind a cut.
@@ -134,7 +152,7 @@
             )
             self._on_sent()
             outcome = await self._receive()
-            complete = not isinstance(outcome, Lost)
+            complete = not isinstance(outcome, Lost | Moved)
             return outcome
         finally:
             if complete:
@@ -158,6 +176,8 @@
                 return await self._relay_events(head)
             return await self._relay_whole(head)
         except _Spoilt as error:
+            if self._moving:
+                return Moved()
             return Lost(error.mishap, error.reason)
 
     async def _next_head(self) -> ReplyHead:
--- a/src/tanagerkeel/relay_entry/_judge.py
+++ b/src/tanagerkeel/relay_entry/_judge.py
@@ -13,6 +13,7 @@
     Answered,
     Delivered,
     Lost,
+    Moved,
     NotRun,
     NotSent,
     Outcome,
@@ -22,9 +23,9 @@
 
 __all__ = ["Judge"]
 
-# A refused connection is taken for a death only after this time, in seconds, when
-# others of the failure domain were lost as well: the looking task has tried some more
-# by then, and a connection over a cut is refused as one to a crashed process is.
+# A connection over a cut is refused as one to a crashed process is. When others of
+# the failure domain were lost as well, a death counts only if any of them is heard
+# within this time, in seconds: the looking task has tried some more by then.
 CONFIRM_S = 0.4
 
 
@@ -54,6 +55,9 @@
                 self._state.quarantine.cleared(run.fingerprint)
                 self._state.backends.succeeded(server, now)
                 return
+            case Moved():
+                run.tried.add(server.backend_id)
+                return
             case NotSent():
                 mishap = Mishap.UNREACHABLE
                 if outcome.crashed:
@@ -118,10 +122,14 @@
         task.add_done_callback(self._probes.discard)
 
     async def _confirm_death(self, server: BackendServer) -> None:
-        await self._state.clock.sleep(CONFIRM_S)
-        now = self._state.clock.monotonic()
-        if not self._state.backends.domain_suspected(server.failure_domain, now):
-            self._died(server)
+        until_s = self._state.clock.monotonic() + CONFIRM_S
+        # The looking task starts from the next turn of the loop on.
+        await asyncio.sleep(0)
+        while (now := self._state.clock.monotonic()) < until_s:
+            if not self._state.backends.domain_suspected(server.failure_domain, now):
+                self._died(server)
+                return
+            await self._state.wait_changed(until_s - now)
 
     def _died(self, server: BackendServer) -> None:
         now = self._state.clock.monotonic()
--- a/src/tanagerkeel/relay_entry/_news_task.py
+++ b/src/tanagerkeel/relay_entry/_news_task.py
@@ -21,7 +21,7 @@
     seal_frame,
 )
 from tanagerkeel.quarantine import QuarantineEntry
-from tanagerkeel.relay import SMALL_FLEET, Work
+from tanagerkeel.relay import LONG_TOKENS, SMALL_FLEET, Work
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import PresenceTask
 from tanagerkeel.relay_entry._state import RelayState
@@ -46,6 +46,8 @@
 MAX_WORKS = 64
 MAX_SUSPECTS = 8
 MAX_GONE = 32
+# A long prompt that was sent longer ago, in milliseconds, was told before.
+LONG_NEWS_MS = 50
 
 # Backend server, prompt, answer, gap objective, times from now to the send, the
 # first event and the end, all in milliseconds, whether it has started, and the whole
@@ -77,6 +79,12 @@
     )
 
 
+def _begins_long(packed: PackedWork) -> bool:
+    """Return whether a long prompt has just been sent to its engine."""
+    _, _, _, _, sent_ms, _, _, started, whole = packed
+    return not started and whole >= LONG_TOKENS and sent_ms > -LONG_NEWS_MS
+
+
 def _unpack(packed: PackedWork, now: float) -> Work:
     backend_id, prompt, answer, gap, sent, first, end, started, whole = packed
     return Work(
@@ -201,6 +209,9 @@
             (_unpack(work, now) for work in news.works),
             now,
         )
+        begun = {work[0] for work in news.works if _begins_long(work)}
+        if begun and self._state.on_long_work is not None:
+            self._state.on_long_work(begun)
         self._state.heard_retries(frame.sender, news.retries)
         for entry in news.suspects:
             self._state.quarantine.learn(entry, now)
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -4,7 +4,16 @@
 
 from tanagerkeel.relay import Mishap, ReplyHead
 
-__all__ = ["Answered", "Delivered", "Lost", "NoMemory", "NotRun", "NotSent", "Outcome"]
+__all__ = [
+    "Answered",
+    "Delivered",
+    "Lost",
+    "Moved",
+    "NoMemory",
+    "NotRun",
+    "NotSent",
+    "Outcome",
+]
 
 
 @attrs.frozen
@@ -83,4 +92,9 @@
     reason: str
 
 
-Outcome = Delivered | NotSent | NoMemory | NotRun | Answered | Lost
+@attrs.frozen
+class Moved:
+    """The answer goes on at another backend server; nothing is wrong with this one."""
+
+
+Outcome = Delivered | NotSent | NoMemory | NotRun | Answered | Lost | Moved
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -46,13 +46,11 @@
             if self._state.backends.out_of_reach(service, now):
                 reason = f"no backend server of {service} can be reached from here"
                 return Refusal(ResultCode.NO_BACKEND, reason, ELSEWHERE_S)
-            candidates = list(self._candidates(run, now))
-            demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
-            placement = choose(candidates, demand, now, run.request.request_id)
+            candidates, placement = self._choose(run, now)
             if placement is not None:
-                self._placed(run, placement, len(candidates), now)
+                self._placed(run, placement, candidates, now)
                 return placement
-            refusal = self._hopeless(run, len(candidates), now)
+            refusal = self._hopeless(run, candidates, now)
             if refusal is not None:
                 return refusal
             if not waited:
@@ -60,11 +58,21 @@
                 log(
                     LogEvent.RELAY_WAITING,
                     request=run.request.request_id,
-                    candidates=len(candidates),
+                    candidates=candidates,
                     news_age_s=round(self._state.ledger.age_s(now), 3),
                 )
             await self._state.wait_changed(min(LOOK_AGAIN_S, run.deadline_s - now))
 
+    def best(self, run: RelayRun) -> Placement | None:
+        """Return where a request would run next, without placing it."""
+        _, placement = self._choose(run, self._state.clock.monotonic())
+        return placement
+
+    def _choose(self, run: RelayRun, now: float) -> tuple[int, Placement | None]:
+        candidates = list(self._candidates(run, now))
+        demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
+        return len(candidates), choose(candidates, demand, now, run.request.request_id)
+
     def _hopeless(self, run: RelayRun, candidates: int, now: float) -> Refusal | None:
         service = run.terms.service.name
         if not candidates and not run.reply.started:
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -146,16 +146,29 @@
         if asked is not None and engine is not None:
             tokens = asked.prompt_tokens
             answer = min(asked.answer_tokens, engine.memory_tokens)
-        due_s = self.objective_s
         return Demand(
             prompt_tokens=tokens,
             answer_tokens=answer,
-            objective_ms=max(0.0, 1_000 * (due_s - now)),
+            objective_ms=self._objective_ms(now),
             gap_objective_ms=float(self.terms.route.gap_objective_ms),
             patience_ms=max(0.0, 1_000 * (self._first_due_s - now)),
             usual_ms=usual_ms,
         )
 
+    def _objective_ms(self, now: float) -> float:
+        """
+        Return the time to the first event from the next backend server.
+
+        What is late already should come as soon as may be: it has the whole time
+        once more, so that placement still tells a sooner one from a later one.
+        """
+        route = self.terms.route
+        whole_ms, since_s = route.objective_ms, self.request.arrived_s
+        if self.last_s is not None and route.gap_objective_ms:
+            whole_ms, since_s = route.gap_objective_ms, self.last_s
+        left_ms = whole_ms - 1_000 * (now - since_s)
+        return left_ms if left_ms > 0 else float(whole_ms)
+
     @property
     def _first_due_s(self) -> float:
         since_s = self.request.arrived_s if self.last_s is None else self.last_s
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -15,6 +15,7 @@
     Answered,
     Delivered,
     Lost,
+    Moved,
     NoMemory,
     NotRun,
     NotSent,
@@ -68,7 +69,14 @@
 
     @_sender.default
     def _make_sender(self) -> Sender:
-        return Sender(self._state, self._pool, self._codec, self._news, self._metrics)
+        return Sender(
+            self._state,
+            self._pool,
+            self._codec,
+            self._news,
+            self._metrics,
+            self._placer.best,
+        )
 
     @property
     def open_requests(self) -> int:
@@ -147,8 +155,8 @@
                     if unsent > MAX_UNSENT:
                         await self._give_up(run, ResultCode.NO_BACKEND, outcome.reason)
                         return
-                case NoMemory():
-                    # Placed again, without the engine that refused.
+                case NoMemory() | Moved():
+                    # Placed again, without the engine that refused or was left.
                     continue
                 case NotRun() | Answered() | Lost():
                     if isinstance(outcome, Answered):
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import math
+from collections.abc import Callable, Container, Sequence
 
 import attrs
 
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.exchange import ConnectionPool
-from tanagerkeel.relay import Placement, Work
+from tanagerkeel.relay import Placement, Work, pause_ahead_ms, worth_moving
 from tanagerkeel.relay_entry._attempt import Attempt
 from tanagerkeel.relay_entry._judge import Judge
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -35,6 +36,7 @@
     :param codec: speaks to backend servers.
     :param news: tells the peers.
     :param metrics: counters and histograms.
+    :param best: tells where a request would run next.
     """
 
     _state: RelayState
@@ -42,6 +44,7 @@
     _codec: BackendCodec
     _news: NewsTask
     _metrics: RelayMetrics
+    _best: Callable[[RelayRun], Placement | None]
     _attempts: set[Attempt] = attrs.field(factory=set)
     _judge: Judge = attrs.field()
     _reservations: Reservations = attrs.field()
@@ -57,11 +60,54 @@
 
     def __attrs_post_init__(self) -> None:
         self._state.on_cut = self._cut_off
+        self._state.on_long_work = self._make_way
 
     def _cut_off(self, domain: str) -> None:
         for attempt in tuple(self._attempts):
             attempt.domain_cut_off(domain)
 
+    def _make_way(self, backend_ids: Container[str]) -> None:
+        """Move answers off engines where a long prompt is about to be read."""
+        beside = [
+            attempt
+            for attempt in self._attempts
+            if attempt.movable and attempt.server.backend_id in backend_ids
+        ]
+        if not beside:
+            return
+        now = self._state.clock.monotonic()
+        works = self._state.ledger.by_backend(now)
+        for attempt in beside:
+            self._move(attempt, works.get(attempt.server.backend_id, ()), now)
+
+    def _move(self, attempt: Attempt, works: Sequence[Work], now: float) -> None:
+        run, backend_id = attempt.run, attempt.server.backend_id
+        profile = run.terms.service.engine
+        gap_ms = run.terms.route.gap_objective_ms
+        if profile is None or not gap_ms or run.last_s is None or run.sends_left <= 0:
+            return
+        belief = self._state.backends.get(backend_id)
+        pause_ms = pause_ahead_ms(
+            profile, works, now, max(1.0, belief.pace) if belief else 1.0
+        )
+        since_ms = 1_000 * (now - run.last_s)
+        run.avoid(backend_id, now)
+        elsewhere = self._best(run)
+        if elsewhere is None or not worth_moving(
+            pause_ms, gap_ms, since_ms, elsewhere.estimate
+        ):
+            return
+        log(
+            LogEvent.RELAY_MOVED,
+            request=run.request.request_id,
+            backend=backend_id,
+            pause_ms=round(pause_ms, 1),
+            to=elsewhere.candidate.server.backend_id,
+            first_ms=round(elsewhere.estimate.first_ms, 1),
+            events=run.events,
+        )
+        attempt.move()
+
     def take_repeat(self, run: RelayRun) -> bool:
         """Count a send beyond the first if the route and the shared bound allow it."""
         if run.sends_left <= 0:
@@ -77,6 +123,8 @@
         works = self._works(run, placement, self._state.clock.monotonic())
         for work in works:
             self._state.ledger.add(work)
+        if placement.long:
+            self._make_way({work.backend_id for work in works})
         self._news.begun(placement.wide)
         try:
             if placement.reserves:
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -1,7 +1,7 @@
 """What one node believes: configuration, backend servers, peers, running work."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import attrs
 
@@ -58,6 +58,7 @@
     :param stopping: whether the node is about to stop.
     :param on_limits: called with the bounds on callers that come into force.
     :param on_cut: called with a failure domain that is found to be cut off.
+    :param on_long_work: called with the engines that begin to read long prompts.
     """
 
     settings: RelaySettings
@@ -70,6 +71,7 @@
     stopping: bool = False
     on_limits: Callable[[CallerLimits], None] | None = None
     on_cut: Callable[[str], None] | None = None
+    on_long_work: Callable[[Container[str]], None] | None = None
     peers: PeerTable = attrs.field()
     cold_shares: ColdShares = attrs.field()
     _retry_shares: dict[str, RetryShare] = attrs.field(factory=dict)
