Let late short requests yield slots to those that can be in time

Change: a short request that no engine would begin in time waits at its node; once late it takes a slot only where two are left, or 0.4 s before its caller would leave. A pure decision; running streams and long prompts never yield.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -42,6 +42,7 @@
     ValueBook,
     watchers,
 )
+from tanagerkeel.relay._yielding import yields
 
 __all__ = [
     "LONG_TOKENS",
@@ -90,4 +91,5 @@
     "watchers",
     "worth_moving",
     "write_ms",
+    "yields",
 ]
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -6,7 +6,7 @@
 
 from tanagerkeel.errors import ResultCode
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.relay import Belief, Candidate, Placement, choose
+from tanagerkeel.relay import Belief, Candidate, Placement, choose, yields
 from tanagerkeel.relay_entry._admit import ELSEWHERE_S, RETRY_AFTER_S, Refusal
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._run import RelayRun
@@ -47,11 +47,11 @@
                 reason = f"no backend server of {service} can be reached from here"
                 return Refusal(ResultCode.NO_BACKEND, reason, ELSEWHERE_S)
             candidates, placement = self._choose(run, now)
-            if placement is not None:
+            if placement is not None and not self._yields(run, placement, now):
                 self._placed(run, placement, candidates, now)
                 return placement
             refusal = self._hopeless(run, candidates, now)
-            if refusal is not None:
+            if placement is None and refusal is not None:
                 return refusal
             if not waited:
                 waited = True
@@ -73,6 +73,12 @@
         demand = run.demand(now, self._state.usual_ms(run.terms.service.name))
         return len(candidates), choose(candidates, demand, now, run.request.request_id)
 
+    def _yields(self, run: RelayRun, placement: Placement, now: float) -> bool:
+        if run.events:
+            return False
+        demand = run.demand(now, 0.0)
+        return yields(placement, demand, late=now > run.objective_s)
+
     def _hopeless(self, run: RelayRun, candidates: int, now: float) -> Refusal | None:
         service = run.terms.service.name
         if not candidates and not run.reply.started:
