Prove with a whole request that a stale node sends nothing away

Change: a call at a stale node is refused as not run, the other failure domain's service runs nothing, and the same node forwards again once it isn't stale. The check on targets stays beside it. The request is sent again when the node heard its peers during it, as such a run would show nothing.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 import aiohttp
@@ -75,6 +76,21 @@
         assert not list(east._forwarder._domains_for(forwarded))
 
 
+async def test_a_stale_node_sends_no_request_away():
+    async with _two_domains() as (fleet, east, _):
+        for number in range(5):
+            east.context.members.stale = True
+            called = await fleet.call(east, f"k-{number}")
+            if east.context.members.stale:
+                # Else the node has heard its peers meanwhile.
+                break
+        assert called.status == 503
+        assert json.loads(called.body)["ran"] == "no"
+        assert not fleet.services["west"][0].executions_by_key
+        east.context.members.stale = False
+        assert (await fleet.call(east, "k-9")).status == 200
+
+
 async def test_second_node_is_tried_when_the_first_is_gone():
     async with _two_domains() as (fleet, east, west):
         gone = "127.0.0.1:1"
