--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -50,19 +50,35 @@
             if placement is not None and not self._yields(run, placement, now):
                 self._placed(run, placement, candidates, now)
                 return placement
-            refusal = self._hopeless(run, candidates, now)
-            if placement is None and refusal is not None:
-                return refusal
+            if placement is None:
+                refusal = self._hopeless(run, candidates, now)
+                if refusal is not None:
+                    return refusal
             if not waited:
                 waited = True
-                log(
-                    LogEvent.RELAY_WAITING,
-                    request=run.request.request_id,
-                    candidates=candidates,
-                    news_age_s=round(self._state.ledger.age_s(now), 3),
-                )
+                self._waits(run, placement, candidates, now)
             await self._state.wait_changed(min(LOOK_AGAIN_S, run.deadline_s - now))
 
+    def _waits(
+        self, run: RelayRun, placement: Placement | None, candidates: int, now: float
+    ) -> None:
+        # Without a best engine, none could begin before the caller leaves.
+        best = {}
+        if placement is not None:
+            best = {
+                "backend": placement.candidate.server.backend_id,
+                "running": len(placement.candidate.works),
+                "first_ms": round(placement.estimate.first_ms, 1),
+            }
+        log(
+            LogEvent.RELAY_WAITING,
+            request=run.request.request_id,
+            candidates=candidates,
+            objective_left_ms=round(1_000 * (run.objective_s - now), 1),
+            news_age_s=round(self._state.ledger.age_s(now), 3),
+            **best,
+        )
+
     def best(self, run: RelayRun) -> Placement | None:
         """Return where a request would run next, without placing it."""
         _, placement = self._choose(run, self._state.clock.monotonic())
