Log the prompt parts of a request whose send failed

Event 213 names the parts of the prompt that the request may share with others, so that the log of a node shows whether the requests under which engines ended have a part in common.

--- a/src/tanagerkeel/relay_entry/_outcome_recorder.py
+++ b/src/tanagerkeel/relay_entry/_outcome_recorder.py
@@ -28,6 +28,8 @@
 # connection counts as a crash only if the domain proves reachable within this time, in
 # seconds; ``ReachabilityTask`` has probed more of its backend servers by then.
 CRASH_CONFIRMATION_S = 0.4
+# Limit of the prompt parts of a request in a log line.
+MAX_LOGGED_PARTS = 8
 
 
 @attrs.define
@@ -103,6 +105,7 @@
             reason=reason,
             events=run.events,
             sends=run.sends,
+            parts=list(run.shared_parts[:MAX_LOGGED_PARTS]),
         )
 
     def _blamed_server(
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -122,6 +122,12 @@
         """
         return self.admitted.route.repeatable and self._last_event_has_id
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts of its prompt that other requests may share."""
+        demand = self.request.demand
+        return demand.shared_parts if demand is not None else ()
+
     @property
     def sends_left(self) -> int:
         """How many further attempts its route allows."""
