--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -5,6 +5,7 @@
 import copy
 import itertools
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
@@ -21,7 +22,7 @@
     StoreEntry,
 )
 from tanagerkeel.relay_entry import RelayBounds, RelayNode, RelaySettings
-from tests.fixtures import reset_connection
+from tests.fixtures import abort_with_reset, reset_connection
 
 ANY_PORT = "127.0.0.1:0"
 HOST = "service.example"
@@ -180,6 +181,7 @@
     :param order_status: the status that it responds to orders with.
     :param leaving: whether its responses announce that it leaves.
     :param retry_after: the Retry-After of its responses with status 503; None for none.
+    :param crashed: whether :meth:`crash` ended it.
     """
 
     engine_id: str
@@ -190,6 +192,7 @@
     order_status: int = 200
     leaving: bool = False
     retry_after: str | None = None
+    crashed: bool = False
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -221,6 +224,13 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def crash(self) -> None:
+        """End as a process that crashes: reset all connections, refuse new ones."""
+        self.crashed = True
+        self._server.close()
+        for writer in list(self._writers):
+            abort_with_reset(writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -524,19 +534,25 @@
 
 @attrs.define
 class Relay:
-    """A running relay node with its store and engines."""
+    """Running relay nodes with their store and engines."""
 
-    node: RelayNode
+    nodes: list[RelayNode]
     store: MemoryStore
     engines: list[Engine]
     stopped: bool = False
 
+    @property
+    def node(self) -> RelayNode:
+        """The first node."""
+        return self.nodes[0]
+
     async def stop(self) -> None:
         self.stopped = True
-        await self.node.stop()
+        await asyncio.gather(*(node.stop() for node in self.nodes))
 
-    async def call(self, target: str, **options: object) -> Response:
-        return await call(self.node.callers_address, target, **options)
+    async def call(self, target: str, node: int = 0, **options: object) -> Response:
+        """Send a request to a node, given by its index, and return the response."""
+        return await call(self.nodes[node].callers_address, target, **options)
 
     async def readiness_status(self) -> int:
         """Return the HTTP status of the node's readiness endpoint."""
@@ -553,6 +569,34 @@
                 await asyncio.sleep(0.005)
 
 
+def _make_node(store: MemoryStore, node_id: str, bounds: RelayBounds) -> RelayNode:
+    settings = RelaySettings(
+        node_id=node_id,
+        failure_domain="zone-a",
+        callers_listen=ANY_PORT,
+        readiness_listen=ANY_PORT,
+        metrics_listen=ANY_PORT,
+        # Peers are told this address, so it can't be chosen when it is bound.
+        news_listen=f"127.0.0.1:{free_datagram_port()}",
+        platform="127.0.0.1:1",
+        bounds=bounds,
+        drain_delay_s=0.0,
+    )
+    return RelayNode(
+        settings,
+        store,
+        PlatformStoreDecoder(),
+        PlatformCallerCodec(),
+        PlatformBackendCodec(),
+    )
+
+
+def free_datagram_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 @contextlib.asynccontextmanager
 async def running_relay(
     *scripts: Script,
@@ -560,9 +604,10 @@
     bounds: RelayBounds | None = None,
     document: dict | None = None,
     configured: bool = True,
+    node_count: int = 1,
 ) -> AsyncIterator[Relay]:
     """
-    Run a node and one engine for each script, and yield when the node is ready.
+    Run nodes and one engine for each script, and yield when the nodes are ready.
 
     :param scripts: how each of the engines responds.
     :param service: the service that all engines are registered for.
@@ -571,6 +616,7 @@
     :param document: the configuration's JSON; None for that of :func:`configuration`.
     :param configured: whether the store holds a configuration. Without one the node
         does not become ready, and is yielded once it knows an engine.
+    :param node_count: number of nodes, which know each other when they are yielded.
     """
     store = MemoryStore()
     engines = [Engine(f"i-{n}", script) for n, script in enumerate(scripts)]
@@ -579,34 +625,27 @@
         store.write(f"servers/{engine.engine_id}", engine.store_entry(service))
     if configured:
         store.write("op/config", document or configuration())
-    settings = RelaySettings(
-        node_id="node-1",
-        failure_domain="zone-a",
-        callers_listen=ANY_PORT,
-        readiness_listen=ANY_PORT,
-        metrics_listen=ANY_PORT,
-        news_listen=ANY_PORT,
-        platform="127.0.0.1:1",
-        bounds=bounds or RelayBounds(grace_s=3.0),
-        drain_delay_s=0.0,
-    )
-    node = RelayNode(
-        settings,
-        store,
-        PlatformStoreDecoder(),
-        PlatformCallerCodec(),
-        PlatformBackendCodec(),
-    )
-    await node.start()
-    relay = Relay(node, store, engines)
+    bounds = bounds or RelayBounds(grace_s=3.0)
+    nodes = [
+        _make_node(store, f"node-{number}", bounds)
+        for number in range(1, node_count + 1)
+    ]
+    for node in nodes:
+        await node.start()
+    relay = Relay(nodes, store, engines)
     await relay.until(
-        lambda: len(node.state.backends) > 0 and (node.state.ready or not configured)
+        lambda: all(
+            len(node.state.backends) > 0
+            and (node.state.ready or not configured)
+            and len(node.state.peers.others) == node_count - 1
+            for node in nodes
+        )
     )
     try:
         yield relay
     finally:
         store.down = store.silent = False
         if not relay.stopped:
-            await node.stop()
+            await relay.stop()
         for engine in engines:
             await engine.stop()
--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_parts.py
@@ -1,8 +1,117 @@
 """Requests whose prompts share a part that crashes each engine that answers them."""
 
+import asyncio
+import itertools
+
+import attrs
+
 from panunumpa import PlatformCallerCodec
+from tests.platform.fixtures import (
+    CHUNKED_HEADERS,
+    Engine,
+    ReceivedRequest,
+    Relay,
+    Response,
+    chunk,
+    event,
+    response_head,
+    running_relay,
+)
 from tests.support import collect
 
+# The part that crashes engines, and parts of sound requests.
+CRASHING_PART = "dead"
+SOUND_PARTS = ("aa", "bb", "cc")
+EVENT_COUNT = 3
+# Users' bounds: requests with a part that may still reach engines after it has crashed
+# the fifth one.
+LATE_CRASHES = 5
+MAX_LATE_REQUESTS = 3
+
+
+@attrs.define
+class CrashLog:
+    """
+    Scripts engines that crash before the first event of requests with some parts.
+
+    :param crashing_parts: the parts.
+    :param arrivals: for each request with such a part that reached an engine, how many
+        engines had crashed before.
+    :param crashes: number of engines that crashed.
+    """
+
+    crashing_parts: set[str] = attrs.field(factory=lambda: {CRASHING_PART})
+    arrivals: list[int] = attrs.field(factory=list)
+    crashes: int = 0
+
+    async def script(
+        self, engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        header = request.headers.get("tanagerkeel-prompt-prefix", "")
+        parts = {entry.partition(":")[0] for entry in header.split(",")}
+        if parts & self.crashing_parts:
+            self.arrivals.append(self.crashes)
+            await asyncio.sleep(0.01)
+            self.crashes += not engine.crashed
+            engine.crash()
+            return
+        writer.write(response_head(request, extra=CHUNKED_HEADERS))
+        for number in range(1, EVENT_COUNT + 1):
+            await asyncio.sleep(0.01)
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    def late_arrivals(self) -> int:
+        """Return how many requests with the part came after the fifth crash."""
+        return sum(crashes >= LATE_CRASHES for crashes in self.arrivals)
+
+
+request_numbers = itertools.count(1)
+
+
+async def send(relay: Relay, *parts: str, node: int = 0) -> Response:
+    """Send a request that is unlike all others but for these parts of its prompt."""
+    number = next(request_numbers)
+    entries = ",".join(f"{part}:40" for part in (*parts, f"{number:08x}"))
+    return await relay.call(
+        "/chat/x",
+        node=node,
+        request_id=f"r{number}",
+        method="POST",
+        body=f"prompt {number}".encode(),
+        headers=(
+            "Tanagerkeel-Model: m",
+            f"Tanagerkeel-Token-Count: {1_000 + number},430",
+            f"Tanagerkeel-Prompt-Prefix: {entries}",
+        ),
+    )
+
+
+async def send_sound(relay: Relay) -> list[Response]:
+    """Send a sound request with each part to each node; return the responses."""
+    numbers = range(len(relay.nodes))
+    calls = (send(relay, part, node=n) for part in SOUND_PARTS for n in numbers)
+    return await asyncio.gather(*calls)
+
+
+async def test_requests_that_share_a_part_do_not_crash_engine_after_engine():
+    log = CrashLog()
+    async with running_relay(
+        *[log.script] * 30, service="models", node_count=3
+    ) as relay:
+        await send_sound(relay)
+        for number in range(12):
+            parts = [SOUND_PARTS[number % 3], CRASHING_PART][:: 1 - 2 * (number % 2)]
+            response = await send(relay, *parts, node=number % 3)
+            assert response.status in (502, 503)
+            for reply in await send_sound(relay):
+                assert reply.status == 200 and reply.complete
+            await asyncio.sleep(0.05)
+        assert log.late_arrivals() <= MAX_LATE_REQUESTS, log.arrivals
+        assert log.crashes <= LATE_CRASHES, log.arrivals
+
 
 def shared_parts(value: bytes | None) -> tuple[str, ...]:
     """Return the shared parts that the codec reads from a header's value."""
