Send requests with a crashing part in the soak test, and find a node that sends all

Engines crash and come back as new incarnations when a request with the part reaches them. Requests that nodes in touch send later than 3 s after the fifth crash are counted. Chats of the soak have bodies of their own now, as the quarantine of whole requests would refuse them otherwise.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -38,6 +39,12 @@
     response_head,
 )
 from tests.platform.soak_links import Link, StoreServer
+from tests.platform.soak_parts import (
+    CRASHING_PART,
+    PartChecker,
+    parts_header,
+    shared_parts,
+)
 from tests.runner import ROOT
 
 # The program of a node process, relative to the root.
@@ -76,6 +83,10 @@
 # Within this time after the last fault every node is ready again, as the user
 # documentation says.
 RECOVERY_BOUND_S = 12.0
+# How long a crashed engine refuses connections, in seconds.
+CRASHED_S = 0.7
+# Interval of the requests with a part that crashes engines, in seconds.
+CRASHING_INTERVAL_S = 0.15
 KEYS = ("key-of-acme", "key-of-bolt")
 # Statuses by which a node says that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -130,6 +141,7 @@
         announcement that it leaves, in seconds, by node and engine.
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
+    :param parts: counts the requests with a part that crashes engines.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
         engine ran a request that no client sent), ``CONFIG`` (a revoked key was used),
         ``TWICE`` (an unsafe request ran twice), ``REFUSED`` (a request that ran was
@@ -137,8 +149,9 @@
         response), ``ORDER`` (missing, repeated or reordered events, or a broken-off
         response that is complete), ``DRAIN`` (a node sent a request to an engine after
         it had passed on that the engine leaves), ``BUDGET`` (a node sent more than two
-        requests to an engine that it should have held off) or ``RECOVER`` (a node did
-        not recover after the last fault).
+        requests to an engine that it should have held off, or requests with a part
+        after it had crashed too many engines) or ``RECOVER`` (a node did not recover
+        after the last fault).
     :param outcomes: how many requests ended with each status, with a broken response
         (``cut``) or without a response (``none``).
     """
@@ -150,6 +163,7 @@
     node_by_request: dict[str, str] = attrs.field(factory=dict)
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
+    parts: PartChecker = attrs.field(factory=PartChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -201,10 +215,19 @@
 
     def excuse_node(self, node: str) -> None:
         """Forget what a node knew before its process was restarted or frozen."""
+        self.parts.record_disruption(node)
         for known in (self.announced_s, self.hold_offs):
             for key in [key for key in known if key[0] == node]:
                 del known[key]
 
+    def check_crashing_part(self, request_id: str) -> None:
+        """Check that few requests with a part arrive after it has crashed engines."""
+        node = self.node_by_request.get(request_id, "")
+        if self.parts.record_arrival(node):
+            self.violations.append(
+                f"BUDGET {request_id} with a crashing part by {node}"
+            )
+
     def check_response(self, call: Call) -> None:
         name, response = call.request_id, call.response
         if call.kind == "reserve" and self.runs[name] > 1:
@@ -249,7 +272,10 @@
 
 
 def engine_script(
-    checker: InvariantChecker, rng: random.Random, fault_rates: dict[str, float]
+    checker: InvariantChecker,
+    rng: random.Random,
+    fault_rates: dict[str, float],
+    crash: Callable[[], bool],
 ):
     """
     Return an engine's script, which injects faults into its responses at random.
@@ -260,6 +286,7 @@
         ``shed`` refuses the request, ``broken`` breaks the response off, ``extra``
         sends a second response, ``unframed`` sends a response with neither a length nor
         chunks, which ends with its connection.
+    :param crash: crashes the engine; returns False where it can't crash now.
     """
 
     async def script(engine: Engine, request: fixtures.ReceivedRequest, writer) -> None:
@@ -269,6 +296,12 @@
             checker.record_hold_off(request.request_id, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
             return
+        if CRASHING_PART in shared_parts(request):
+            checker.check_crashing_part(request.request_id)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            if crash():
+                checker.parts.record_crash()
+            fixtures.reset_connection(writer)
         if rng.random() < fault_rates["shed"]:
             await fixtures.shed_request(engine, request, writer)
             return
@@ -437,6 +470,8 @@
     :param announces_first: whether the first fault is an engine that announces that it
         leaves.
     :param holds_off_first: whether one engine asks to be held off all the time.
+    :param crashes_first: whether requests with a crashing part come all the time, and
+        nothing else disturbs the nodes.
     :param fault_rates: the share in force for each kind of fault.
     :param links: the proxies before the store (first) and before each engine.
     :param version: version of the next configuration.
@@ -455,6 +490,7 @@
     base_fault_rate: float = 0.0
     announces_first: bool = False
     holds_off_first: bool = False
+    crashes_first: bool = False
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
@@ -468,6 +504,8 @@
     # fault at a time: the checks know engines by their ids, and a new incarnation of
     # an id starts without what the one before said.
     _busy_engines: set[int] = attrs.field(init=False, factory=set)
+    _crashing_requests: int = 0
+    _chats: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -502,7 +540,12 @@
 
     async def _start(self, store_address: str) -> None:
         for number in range(ENGINE_COUNT):
-            script = engine_script(self.checker, self.rng, self.fault_rates)
+            script = engine_script(
+                self.checker,
+                self.rng,
+                self.fault_rates,
+                functools.partial(self._crash, number),
+            )
             engine = Engine(f"i-{number}", script)
             await engine.start()
             link = Link(engine.address)
@@ -569,6 +612,8 @@
             self._start_fault(self._announce_leaving(0))
         if self.holds_off_first:
             self.engines[0].retry_after = HOLD_OFF_VALUE
+        if self.crashes_first:
+            await self._send_crashing_requests(self.seconds)
         while time.monotonic() < end:
             await asyncio.sleep(self.rng.uniform(0.05, 0.5))
             fault = self._start_fault(self._inject_fault())
@@ -611,7 +656,7 @@
 
     async def _inject_outside_fault(self, duration_s: float) -> None:
         match self.rng.choice(
-            ("link", "down", "silent", "lapse", "answers", "hold_off")
+            ("link", "down", "silent", "lapse", "answers", "hold_off", "crash")
         ):
             case "link":
                 link = self.rng.choice(self.links)
@@ -627,6 +672,8 @@
             case "lapse":
                 self.store.expire_all_leases()
                 self.store.history_lost = True
+            case "crash":
+                await self._send_crashing_requests(2 * duration_s)
             case "hold_off":
                 await self._ask_for_hold_offs(
                     self.rng.randrange(ENGINE_COUNT), duration_s
@@ -660,6 +707,31 @@
         self._register(number)
         self._busy_engines.discard(number)
 
+    def _crash(self, number: int) -> bool:
+        """Crash an engine and start it again; return False if it has another fault."""
+        if number in self._busy_engines:
+            return False
+        self._busy_engines.add(number)
+        self._start_fault(self._restart_engine(number))
+        return True
+
+    async def _restart_engine(self, number: int) -> None:
+        await self.links[number + 1].refuse_connections(CRASHED_S)
+        self._register(number)
+        self._busy_engines.discard(number)
+
+    async def _send_crashing_requests(self, duration_s: float) -> None:
+        """Send requests that have only a part that crashes engines in common."""
+        end = time.monotonic() + duration_s
+        async with asyncio.TaskGroup() as calls:
+            while time.monotonic() < end:
+                self._crashing_requests += 1
+                name = f"crash-{self._crashing_requests}"
+                call = Call(name, "chat", KEYS[0], 0.0)
+                node = self.rng.choice(self.nodes)
+                calls.create_task(self._call(call, node, crashing=True))
+                await asyncio.sleep(CRASHING_INTERVAL_S)
+
     async def _ask_for_hold_offs(self, number: int, duration_s: float) -> None:
         """Let an engine reject all requests and ask to be held off."""
         if number in self._busy_engines:
@@ -697,12 +769,20 @@
             self.checker.check_response(call)
             await asyncio.sleep(rng.uniform(0.0, 0.05))
 
-    async def _call(self, call: Call, node: NodeProcess) -> None:
+    async def _call(
+        self, call: Call, node: NodeProcess, crashing: bool = False
+    ) -> None:
         call.sent_s = time.monotonic()
         self.checker.key_by_request[call.request_id] = call.key
         self.checker.sent_s[call.request_id] = call.sent_s
         self.checker.node_by_request[call.request_id] = node.name
-        headers = ("Tanagerkeel-Token-Count: 1000,430",) if call.kind == "chat" else ()
+        headers: tuple[str, ...] = ()
+        if call.kind == "chat":
+            self._chats += 1
+            headers = (
+                "Tanagerkeel-Token-Count: 1000,430",
+                parts_header(self._chats, crashing),
+            )
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 call.response = await fixtures.call(
@@ -710,7 +790,7 @@
                     f"/{call.kind}/x",
                     request_id=call.request_id,
                     method="GET" if call.kind == "lookup" else "POST",
-                    body=b"" if call.kind == "lookup" else b"body",
+                    body=b"" if call.kind == "lookup" else call.request_id.encode(),
                     key=call.key,
                     headers=headers,
                 )
@@ -788,6 +868,7 @@
     base_fault_rate: float = 0.0,
     announces_first: bool = False,
     holds_off_first: bool = False,
+    crashes_first: bool = False,
 ) -> Soak:
     """Run the test with one seed and return the finished run."""
     run = Soak(
@@ -798,6 +879,7 @@
         base_fault_rate=base_fault_rate,
         announces_first=announces_first,
         holds_off_first=holds_off_first,
+        crashes_first=crashes_first,
     )
     await run.run()
     return run
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -41,17 +41,27 @@
 
     target: str
     mode: str = ""
+    _address: str = ""
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     @property
     def address(self) -> str:
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        return self._address
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self._address = f"{host}:{port}"
+
+    async def refuse_connections(self, duration_s: float) -> None:
+        """End all connections and refuse new ones, as when the target crashes."""
+        self._server.close()
+        self._abort_connections()
+        await asyncio.sleep(duration_s)
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
         self._server.close()
--- /dev/null
+++ b/tests/platform/soak_parts.py
@@ -0,0 +1,64 @@
+"""The soak test's requests with a part of their prompts that crashes engines."""
+
+import time
+
+import attrs
+
+from tests.platform.fixtures import ReceivedRequest
+
+__all__ = ["CRASHING_PART", "PartChecker", "parts_header", "shared_parts"]
+
+# Part of a prompt that crashes each engine which runs a request with it.
+CRASHING_PART = "dead"
+SOUND_PARTS = ("aa", "bb", "cc")
+# Users' bound: how many requests with a part may reach engines later than this time, in
+# seconds, after the part has crashed this many engines.
+STABLE_S = 3.0
+LATE_CRASHES = 5
+MAX_LATE_REQUESTS = 3
+
+
+def parts_header(number: int, crashing: bool) -> str:
+    """Return a header with the parts of a prompt, the last of them its own."""
+    parts = [SOUND_PARTS[number % len(SOUND_PARTS)]]
+    if crashing:
+        parts.insert(number % 2, CRASHING_PART)
+    entries = ",".join(f"{part}:40" for part in (*parts, f"{number:08x}"))
+    return f"Tanagerkeel-Prompt-Prefix: {entries}"
+
+
+def shared_parts(request: ReceivedRequest) -> tuple[str, ...]:
+    """Return the parts of a request that it may share with others."""
+    header = request.headers.get("tanagerkeel-prompt-prefix", "")
+    return tuple(entry.partition(":")[0] for entry in header.split(",")[:-1])
+
+
+@attrs.define
+class PartChecker:
+    """
+    Counts the requests with the crashing part that reach engines.
+
+    :param crashes_s: monotonic time of each crash, in seconds.
+    :param late_requests: requests that nodes in touch sent after the bound.
+    :param disrupted_s: monotonic time at which each node was last restarted, frozen or
+        reloaded, or a link was disturbed, in seconds.
+    """
+
+    crashes_s: list[float] = attrs.field(factory=list)
+    late_requests: int = 0
+    disrupted_s: dict[str, float] = attrs.field(factory=dict)
+
+    def record_crash(self) -> None:
+        self.crashes_s.append(time.monotonic())
+
+    def record_disruption(self, node: str) -> None:
+        self.disrupted_s[node] = time.monotonic()
+
+    def record_arrival(self, node: str) -> bool:
+        """Count a request from a node; return whether the bound is exceeded."""
+        now = time.monotonic()
+        in_touch = now - self.disrupted_s.get(node, 0.0) > STABLE_S
+        crashed = len(self.crashes_s) >= LATE_CRASHES
+        if in_touch and crashed and now > self.crashes_s[LATE_CRASHES - 1] + STABLE_S:
+            self.late_requests += 1
+        return self.late_requests > MAX_LATE_REQUESTS
