--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -181,6 +181,7 @@
     :param order_status: the status that it responds to orders with.
     :param leaving: whether its responses announce that it leaves.
     :param retry_after: the Retry-After of its responses with status 503; None for none.
+    :param rate_limit: the Server-Limit of its responses; None for none.
     :param crashed: whether :meth:`crash` ended it.
     """
 
@@ -192,6 +193,7 @@
     order_status: int = 200
     leaving: bool = False
     retry_after: str | None = None
+    rate_limit: str | None = None
     crashed: bool = False
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
@@ -300,6 +302,8 @@
         lines.append(f"Content-Length: {length}")
     if status == 503 and request.engine.retry_after is not None:
         lines.append(f"Retry-After: {request.engine.retry_after}")
+    if request.engine.rate_limit is not None:
+        lines.append(f"Server-Limit: {request.engine.rate_limit}")
     if request.engine.leaving:
         lines.append("Server-Leaving: 1")
         lines.append(f"{LEAVING_ENGINE_HEADER}: {request.engine.engine_id}")
