Keep the limits on requests per second that engines name

An engine in need that had named 1 request a second got 12 counted in 4 s, from nodes that it had told: they sent it as much as before.

Cause: Server-Limit was not read at all; nothing in the placement changed.

All nodes now pace their sends to such an engine by the newest send of any of them, which each reports at once and repeats for 4 s. Nothing is owned by a node, so no share can be lent twice. A limit that only peers were told is kept, too, and an end is passed on. What doesn't fit goes to other engines, or waits for its turn, or is refused at once with the time until then.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -39,6 +39,11 @@
     RelayPlacement,
     choose_placement,
 )
+from tanagerkeel.relay._rate_limit import (
+    RateLimitTable,
+    SendReport,
+    parse_rate_limit,
+)
 from tanagerkeel.relay._retry_budget import SharedRetryBudget
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
 from tanagerkeel.relay._watching import (
@@ -79,6 +84,7 @@
     "PartReport",
     "RelayPlacement",
     "Prefill",
+    "RateLimitTable",
     "RelayConfiguration",
     "ReplyHead",
     "SharedRetryBudget",
@@ -86,6 +92,7 @@
     "RouteKind",
     "ServerState",
     "ServiceSpec",
+    "SendReport",
     "StartReport",
     "StoreChange",
     "StreamEvent",
@@ -103,6 +110,7 @@
     "step_ms",
     "watchers",
     "should_migrate",
+    "parse_rate_limit",
     "parse_retry_after",
     "should_defer",
 ]
--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -108,6 +108,7 @@
     :param failure_rate: share of recent sends to it that failed.
     :param latency_ratio: measured over expected time to the first event; 1 is as
         expected.
+    :param limited: whether it named a limit on the requests per second that it takes.
     """
 
     server: BackendServer
@@ -117,6 +118,7 @@
     cold: bool = False
     failure_rate: float = 0.0
     latency_ratio: float = 1.0
+    limited: bool = False
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay/_messages.py
+++ b/src/tanagerkeel/relay/_messages.py
@@ -79,6 +79,8 @@
     :param cold_ms: remaining time of the backend server's cold start, in milliseconds;
         None when not given.
     :param retry_after: value of the Retry-After header; None when not given.
+    :param rate_limit: value of the header that names how many requests per second the
+        backend server takes from all nodes; None when not given.
     :param leaving: whether the backend server announces that it is about to shut down.
     :param event_stream: whether the body is a stream of events, as far as its media
         type says.
@@ -94,6 +96,7 @@
     keep_alive_s: float | None = None
     cold_ms: int | None = None
     retry_after: str | None = None
+    rate_limit: str | None = None
     leaving: bool = False
     event_stream: bool = True
 
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -95,6 +95,7 @@
     _stream_started: bool = False
     _migration_requested: bool = False
     _held_off: bool = False
+    _sent_s: float = 0.0
 
     @property
     def server(self) -> BackendServer:
@@ -161,6 +162,7 @@
             self._pool.release(connection)
             return Withheld(part)
         complete = False
+        self._sent_s = self._state.clock.monotonic()
         try:
             connection.send(
                 self._codec.encode(run.request, run.body, options),
@@ -207,7 +209,9 @@
             case RawHead():
                 head = self._codec.decode(event)
                 self._connection.keep_alive_s = head.keep_alive_s
-                self._held_off = self._state.record_head(self.server, head)
+                self._held_off = self._state.record_head(
+                    self.server, head, self._sent_s
+                )
                 return head
             case _:
                 raise _ReplyFailed(
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -43,6 +43,7 @@
     :param repeats: sends beyond each request's first.
     :param held_off: backend servers that asked to be sent nothing for a time.
     :param leaving: backend servers that announced in a response that they leave.
+    :param rate_limited: backend servers that limit the requests per second.
     :param quarantined_parts: prompt parts for which requests are refused.
     """
 
@@ -57,6 +58,7 @@
     repeats: prometheus_client.Counter = attrs.field(init=False)
     held_off: prometheus_client.Gauge = attrs.field(init=False)
     leaving: prometheus_client.Gauge = attrs.field(init=False)
+    rate_limited: prometheus_client.Gauge = attrs.field(init=False)
     quarantined_parts: prometheus_client.Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -89,6 +91,11 @@
             "Backend servers that announced that they leave",
             registry=registry,
         )
+        self.rate_limited = prometheus_client.Gauge(
+            "tanagerkeel_relay_rate_limited",
+            "Backend servers that limit the requests per second",
+            registry=registry,
+        )
         self.quarantined_parts = prometheus_client.Gauge(
             "tanagerkeel_relay_quarantined_parts",
             "Prompt parts for which requests are refused",
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -85,6 +85,12 @@
         self._metrics.held_off.set_function(
             lambda: backends.held_off_count(self._clock.monotonic())
         )
+        self._metrics.rate_limited.set_function(
+            lambda: sum(
+                self.state.rate_limits.limit(record.server.incarnation) is not None
+                for record in backends
+            )
+        )
         self._metrics.quarantined_parts.set_function(
             lambda: self.state.part_quarantine.quarantined_count(
                 self._clock.monotonic()
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -28,6 +28,7 @@
     SMALL_FLEET_NODES,
     Assignment,
     PartReport,
+    SendReport,
     StartReport,
 )
 from tanagerkeel.relay_entry._peers import Peer
@@ -80,6 +81,8 @@
     # Prompt parts of requests whose answers began, and parts that may crash engines.
     started_parts: tuple[StartReport, ...] = ()
     part_reports: tuple[PartReport, ...] = ()
+    # The sender's newest sends to backend servers that limit their rate.
+    limited_sends: tuple[SendReport, ...] = ()
 
 
 def _pack(assignment: Assignment, now: float) -> PackedAssignment:
@@ -251,6 +254,7 @@
         self._state.record_peer_retries(frame.sender, update.retries)
         for entry in update.suspects:
             self._state.quarantine.merge(entry, now)
+        self._state.rate_limits.merge(update.limited_sends, now)
         self._merge_part_evidence(frame, update, now)
         for backend_id in update.gone:
             self._state.record_gone_report(frame.sender, backend_id)
@@ -324,6 +328,7 @@
             self._state.backends.gone_backends(now)[:MAX_GONE],
             self._state.part_quarantine.take_starts(now),
             self._state.part_quarantine.take_reports(self._nodes(now), now),
+            self._state.rate_limits.reports(now),
         )
         data = self._sign(NEWS_KIND, codec.pack_compact(update), keys)
         for peer in peers:
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -1,5 +1,6 @@
 """Chooses a backend server for a request, waits for one, or refuses the request."""
 
+import itertools
 from collections.abc import Iterator
 
 import attrs
@@ -37,6 +38,9 @@
 
     _state: RelayState
     _metrics: RelayMetrics
+    # Requests that wait although no backend server may be sent one now, by service, in
+    # the order of their arrival.
+    _queues: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
     async def place(self, run: RelayRun) -> RelayPlacement | Refusal:
         """
@@ -44,6 +48,15 @@
 
         :raises TimeoutError: when the request's deadline has passed.
         """
+        queue = self._queues.setdefault(run.admitted.service.name, {})
+        try:
+            return await self._place(run, queue)
+        finally:
+            queue.pop(run.request.request_id, None)
+
+    async def _place(
+        self, run: RelayRun, queue: dict[str, None]
+    ) -> RelayPlacement | Refusal:
         waited = False
         while True:
             now = self._state.clock.monotonic()
@@ -67,6 +80,8 @@
                 refusal = self._refusal_if_hopeless(run, candidates, now)
                 if refusal is not None:
                     return refusal
+                if not candidates:
+                    queue.setdefault(run.request.request_id)
             if not waited:
                 waited = True
                 self._log_waiting(run, placement, candidates, now)
@@ -130,8 +145,8 @@
             if return_s is not None:
                 for_s = return_s - now
                 reason = (
-                    f"each usable backend server of {service} asked to be sent "
-                    f"nothing, the first one for {for_s:.2f} s"
+                    f"each usable backend server of {service} asked to be sent less; "
+                    f"the next request may be sent in {for_s:.2f} s"
                 )
                 return Refusal(ResultCode.OVERLOADED, reason, for_s)
             reason = f"no usable backend server of {service}"
@@ -153,19 +168,29 @@
         )
 
     def _next_return_s(self, run: RelayRun, now: float) -> float | None:
-        """Return when the first hold-off ends; None without a held-off server."""
-        ends_s = (
-            self._state.backends.next_send_s(record.server, now)
-            for record in self._usable(run, now)
-        )
-        return min((end_s for end_s in ends_s if end_s > now), default=None)
+        """
+        Return when the request may be sent; None if no server takes one later.
+
+        Backend servers that limit their rate first take the requests that wait.
+        """
+        usable = list(self._usable(run, now))
+        ends_s = (self._state.next_send_s(record.server, now) for record in usable)
+        end_s = min((end_s for end_s in ends_s if end_s > now), default=None)
+        per_s = [
+            self._state.rate_limits.used_per_s(r.server.incarnation) for r in usable
+        ]
+        if end_s is None or None in per_s:
+            return end_s
+        queue = self._queues.get(run.admitted.service.name, {})
+        waiting = itertools.takewhile(lambda i: i != run.request.request_id, queue)
+        return end_s + sum(1 for _ in waiting) / sum(per_s)
 
     def _candidates(self, run: RelayRun, now: float) -> Iterator[Candidate]:
         assignments = self._state.assignments.by_backend(now)
         usable = [
             record
             for record in self._usable(run, now)
-            if self._state.backends.next_send_s(record.server, now) <= now
+            if self._state.next_send_s(record.server, now) <= now
         ]
         available = [r for r in usable if r.backoff_until_s <= now]
         if not available:
@@ -191,6 +216,8 @@
                 cold=record.is_cold(now),
                 failure_rate=record.failure_rate(now),
                 latency_ratio=max(1.0, record.latency_ratio),
+                limited=self._state.rate_limits.limit(record.server.incarnation)
+                is not None,
             )
             for record in reachable or available
         )
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -68,13 +68,15 @@
     :param pool: connections to backend servers.
     :param codec: encodes the orders and decodes the heads of their responses.
     :param record_head: records what the head of a response says about its engine.
+    :param monotonic: returns the monotonic time, in seconds.
     :param longest_hold_ms: the deployment's upper bound on the time to live of a
         reservation, in milliseconds.
     """
 
     _pool: ConnectionPool
     _codec: BackendCodec
-    _record_head: Callable[[BackendServer, ReplyHead], bool]
+    _record_head: Callable[[BackendServer, ReplyHead, float], bool]
+    _monotonic: Callable[[], float]
     _longest_hold_ms: int = RESERVATION_TTL_MS
     _background: BackgroundTasks = attrs.field(factory=BackgroundTasks)
 
@@ -156,12 +158,13 @@
         complete = False
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
+                sent_s = self._monotonic()
                 connection.send(self._codec.encode_order(server, order))
                 event = await connection.next_event()
                 while isinstance(event, RawHead | BodyPart):
                     if isinstance(event, RawHead):
                         head = self._codec.decode(event)
-                        self._record_head(server, head)
+                        self._record_head(server, head, sent_s)
                     event = await connection.next_event()
                 complete = isinstance(event, ReplyEnd)
         except TimeoutError:
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -72,7 +72,13 @@
     @_reservations.default
     def _make_reservations(self) -> Reservations:
         hold_ms = self._state.settings.bounds.longest_hold_ms
-        return Reservations(self._pool, self._codec, self._state.record_head, hold_ms)
+        return Reservations(
+            self._pool,
+            self._codec,
+            self._state.record_head,
+            self._state.clock.monotonic,
+            hold_ms,
+        )
 
     def __attrs_post_init__(self) -> None:
         self._state.on_domain_cut_off = self._on_domain_cut_off
@@ -154,9 +160,9 @@
         )
         for assignment in assignments:
             self._state.assignments.add(assignment)
-        now = self._state.clock.monotonic()
-        for participant in placement.participants:
-            self._state.backends.record_send(participant.server, now)
+        limited = [self._state.record_send(p.server) for p in placement.participants]
+        if any(limited):
+            self._peer_updates.notify_all_peers()
         if placement.long_prompt:
             self._migrate_streams_from(
                 {assignment.backend_id for assignment in assignments}
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -16,11 +16,13 @@
     CallerLimits,
     ColdStartLimiter,
     PartQuarantine,
+    RateLimitTable,
     RelayConfiguration,
     ReplyHead,
     SendFailure,
     SharedRetryBudget,
     UnstartedAttempts,
+    parse_rate_limit,
     parse_retry_after,
 )
 from tanagerkeel.relay_entry._peers import PeerTable
@@ -64,6 +66,7 @@
     :param assignments: work that runs on backend servers, of this node and its peers.
     :param quarantine: requests that are suspected of crashing backend servers.
     :param unstarted: attempts of this node whose answers have not begun.
+    :param rate_limits: limits on requests per second that backend servers name.
     :param part_quarantine: prompt parts that crash backend servers.
     :param stopping: whether the node has begun to stop.
     :param on_caller_limits: called with the limits on callers that come into force.
@@ -89,12 +92,14 @@
     peers: PeerTable = attrs.field()
     cold_limiter: ColdStartLimiter = attrs.field()
     part_quarantine: PartQuarantine = attrs.field()
+    rate_limits: RateLimitTable = attrs.field()
     _retry_budgets: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
     # When each peer last reported its retries, and their number by service.
     _peer_retries: dict[str, tuple[float, dict[str, int]]] = attrs.field(factory=dict)
-    # Incarnations of backend servers whose Retry-After could not be read.
+    # Incarnations whose Retry-After, or rate limit, could not be read.
     _unread_retry_after: set[tuple[str, int]] = attrs.field(factory=set)
+    _unread_rate_limit: set[tuple[str, int]] = attrs.field(factory=set)
     _change_event: asyncio.Event = attrs.field(factory=asyncio.Event)
     # Failure domains that may be cut off, with their losses at the last change.
     _suspected_domains: dict[str, int] = attrs.field(factory=dict)
@@ -113,6 +118,10 @@
     def _default_part_quarantine(self) -> PartQuarantine:
         return PartQuarantine(self.settings.node_id)
 
+    @rate_limits.default
+    def _default_rate_limits(self) -> RateLimitTable:
+        return RateLimitTable(self.settings.node_id)
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send callers to this node."""
@@ -283,14 +292,19 @@
                 for_s=round(record.backoff_until_s - now, 2),
             )
 
-    def record_head(self, server: BackendServer, head: ReplyHead) -> bool:
+    def record_head(
+        self, server: BackendServer, head: ReplyHead, sent_s: float
+    ) -> bool:
         """
         Record what the head of a response says about its backend server.
 
-        That is whether it leaves, and whether it asked to be sent nothing for a time.
+        That is whether it leaves, how many requests per second it takes, and whether it
+        asked to be sent nothing for a time.
 
         :param server: the backend server that was sent to. If the response names
             another one, that has taken over the address.
+        :param head: status and headers.
+        :param sent_s: monotonic time at which the request was sent, in seconds.
         :returns: whether it asked to be sent nothing.
         """
         if head.instance_id is not None and head.instance_id != server.backend_id:
@@ -300,6 +314,7 @@
             server = record.server
         if head.leaving:
             self._record_leaving(server)
+        self._record_rate_limit(server, head.rate_limit, sent_s)
         if head.status == UNAVAILABLE_STATUS and head.retry_after is not None:
             return self._hold_off(server, head.retry_after)
         return False
@@ -327,6 +342,69 @@
             )
         return True
 
+    def _record_rate_limit(
+        self, server: BackendServer, value: str | None, sent_s: float
+    ) -> None:
+        if value is None:
+            if self.rate_limits.record_not_named(server.incarnation, sent_s):
+                self._log_rate_limit(server, None)
+                self.notify_changed()
+            return
+        per_s = parse_rate_limit(value)
+        if per_s is None:
+            if server.incarnation not in self._unread_rate_limit:
+                self._unread_rate_limit.add(server.incarnation)
+                log(
+                    LogEvent.RATE_LIMIT_IGNORED,
+                    backend=server.backend_id,
+                    value=value[:MAX_LOGGED_CHARACTERS],
+                )
+            return
+        now = self.clock.monotonic()
+        if self.rate_limits.record_named(server.incarnation, per_s, now):
+            self._log_rate_limit(server, per_s)
+
+    def _log_rate_limit(self, server: BackendServer, per_s: float | None) -> None:
+        log(
+            LogEvent.BACKEND_RATE_LIMITED,
+            backend=server.backend_id,
+            service=server.service,
+            per_s=per_s,
+        )
+
+    def next_send_s(self, server: BackendServer, now: float) -> float:
+        """
+        Return the earliest time of a request to a backend server, in seconds.
+
+        Its hold-off and the rate that it named both have to allow it.
+        """
+        held_off_until_s = self.backends.next_send_s(server, now)
+        if self.rate_limits.limit(server.incarnation) is None:
+            return held_off_until_s
+        limited_until_s = self.rate_limits.next_send_s(
+            server.incarnation, *self._pacing_nodes(now), now
+        )
+        return max(held_off_until_s, limited_until_s)
+
+    def record_send(self, server: BackendServer) -> bool:
+        """Record a send; return whether the peers must know of it at once."""
+        now = self.clock.monotonic()
+        self.backends.record_send(server, now)
+        if self.rate_limits.limit(server.incarnation) is None:
+            return False
+        return self.rate_limits.record_send(
+            server.incarnation, *self._pacing_nodes(now), now
+        )
+
+    def _pacing_nodes(self, now: float) -> tuple[int, int]:
+        """Return how many nodes this one hears, itself included, and of how many."""
+        nodes = self.peers.possible_senders(now)
+        heard = sum(
+            now - received_s <= PEER_TIMEOUT_S and node in nodes
+            for node, (received_s, _) in self._peer_retries.items()
+        )
+        return 1 + heard, len(nodes)
+
     def _record_leaving(self, server: BackendServer) -> None:
         if not self.backends.record_leaving(server):
             return
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -31,6 +31,8 @@
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 # Names the engine that announces that it leaves, for the checks of tests.
 LEAVING_ENGINE_HEADER = "x-leaving-engine"
+# Names the engine that names a limit, for the same.
+LIMITED_ENGINE_HEADER = "x-limited-engine"
 BODILESS_STATUSES = (204, 304)
 # Longest wait of a test for a response or a condition.
 WAIT_TIMEOUT_S = 5.0
@@ -304,6 +306,7 @@
         lines.append(f"Retry-After: {request.engine.retry_after}")
     if request.engine.rate_limit is not None:
         lines.append(f"Server-Limit: {request.engine.rate_limit}")
+        lines.append(f"{LIMITED_ENGINE_HEADER}: {request.engine.engine_id}")
     if request.engine.leaving:
         lines.append("Server-Leaving: 1")
         lines.append(f"{LEAVING_ENGINE_HEADER}: {request.engine.engine_id}")
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -12,11 +12,14 @@
 import attrs
 
 from tests.platform.fixtures import (
+    LONG_CALL,
+    LONG_PROMPTS,
     Engine,
     ReceivedRequest,
     Relay,
     Response,
     running_relay,
+    stream_script,
     write_response,
 )
 from tests.support import collect
@@ -84,5 +87,75 @@
         assert most <= allowed_in_span(1.0), most
 
 
+async def test_requests_that_a_limit_leaves_no_room_for_are_refused_at_once():
+    log = ArrivalLog()
+    async with running_relay(log.script) as relay:
+        relay.engines[0].rate_limit = "1"
+        assert (await lookup(relay)).status == 200
+        begin = time.monotonic()
+        calls = [asyncio.create_task(lookup(relay)) for _ in range(20)]
+        await asyncio.sleep(0.4)
+        refused = [call.result() for call in calls if call.done()]
+        assert len(refused) >= 18
+        for response in refused:
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 1.0
+        served = [r for r in await asyncio.gather(*calls) if r.status == 200]
+        assert served and time.monotonic() - begin < 2.0
+        assert log.most_in_span("i-0", begin) <= allowed_in_span(1.0)
+
+
+async def test_a_limit_ends_with_a_response_that_names_none():
+    log = ArrivalLog()
+    async with running_relay(log.script) as relay:
+        engine = relay.engines[0]
+        engine.rate_limit = "1"
+        assert (await lookup(relay)).status == 200
+        engine.rate_limit = None
+        assert (await lookup(relay)).status == 200
+        responses = await asyncio.gather(*(lookup(relay) for _ in range(20)))
+        assert all(response.status == 200 for response in responses)
+
+
+async def test_a_new_incarnation_at_the_address_has_no_limit():
+    log = ArrivalLog()
+    async with running_relay(log.script) as relay:
+        engine = relay.engines[0]
+        engine.rate_limit = "0"
+        assert (await lookup(relay)).status == 200
+        assert (await lookup(relay)).status == 503
+        engine.rate_limit = None
+        entry = engine.store_entry("booking", born=1_700_000_009_000)
+        relay.store.write(f"servers/{engine.engine_id}", entry)
+        backends = relay.node.state.backends
+        await relay.until(
+            lambda: backends.get("i-0").server.started_ms == 1_700_000_009_000
+        )
+        assert (await lookup(relay)).status == 200
+
+
+async def test_values_that_are_no_limit_are_ignored():
+    log = ArrivalLog()
+    async with running_relay(log.script) as relay:
+        for value in ("nan", "-1", "soon", "inf", ""):
+            relay.engines[0].rate_limit = value
+            responses = await asyncio.gather(*(lookup(relay) for _ in range(5)))
+            assert all(response.status == 200 for response in responses), value
+
+
+async def test_an_engine_with_a_limit_helps_with_no_prompt():
+    async with running_relay(
+        *[stream_script(3)] * 5, service="models", document=LONG_PROMPTS
+    ) as relay:
+        limited = relay.engines[:2]
+        now = relay.node.state.clock.monotonic()
+        for engine in limited:
+            server = relay.node.state.backends.get(engine.engine_id).server
+            relay.node.state.rate_limits.record_named(server.incarnation, 50.0, now)
+        reply = await relay.call("/chat/x", **LONG_CALL)
+        assert reply.complete
+        assert not any(engine.orders or engine.received for engine in limited)
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
