Let engines of the soak test name limits, and find nodes that exceed them

Requests beyond the limit are counted as callers and engines see them: those of nodes that passed a limit on half a second before. Two mutants are found: a node that ignores limits, and one that uses each limit for itself.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -31,6 +31,7 @@
 from tests.platform import fixtures
 from tests.platform.fixtures import (
     LEAVING_ENGINE_HEADER,
+    LIMITED_ENGINE_HEADER,
     Engine,
     MemoryStore,
     chunk,
@@ -38,6 +39,7 @@
     configuration,
     response_head,
 )
+from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
 from tests.platform.soak_parts import (
     CRASHING_PART,
@@ -87,6 +89,9 @@
 CRASHED_S = 0.7
 # Interval of the requests with a part that crashes engines, in seconds.
 CRASHING_INTERVAL_S = 0.15
+# How long an engine names a limit, in seconds: longer than the time after which the
+# bound on its requests begins to hold.
+LIMITED_S = 6.0
 KEYS = ("key-of-acme", "key-of-bolt")
 # Statuses by which a node says that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -141,6 +146,7 @@
         announcement that it leaves, in seconds, by node and engine.
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
+    :param limits: counts the requests to engines that name a limit.
     :param parts: counts the requests with a part that crashes engines.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
         engine ran a request that no client sent), ``CONFIG`` (a revoked key was used),
@@ -150,8 +156,9 @@
         response that is complete), ``DRAIN`` (a node sent a request to an engine after
         it had passed on that the engine leaves), ``BUDGET`` (a node sent more than two
         requests to an engine that it should have held off, or requests with a part
-        after it had crashed too many engines) or ``RECOVER`` (a node did not recover
-        after the last fault).
+        after it had crashed too many engines), ``LIMIT`` (the nodes sent an engine more
+        than the limit that it had named) or ``RECOVER`` (a node did not recover after
+        the last fault).
     :param outcomes: how many requests ended with each status, with a broken response
         (``cut``) or without a response (``none``).
     """
@@ -163,6 +170,7 @@
     node_by_request: dict[str, str] = attrs.field(factory=dict)
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
+    limits: LimitChecker = attrs.field(factory=LimitChecker)
     parts: PartChecker = attrs.field(factory=PartChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
@@ -216,10 +224,20 @@
     def excuse_node(self, node: str) -> None:
         """Forget what a node knew before its process was restarted or frozen."""
         self.parts.record_disruption(node)
+        self.limits.record_disruption(node)
         for known in (self.announced_s, self.hold_offs):
             for key in [key for key in known if key[0] == node]:
                 del known[key]
 
+    def check_limit(self, request_id: str, engine: Engine) -> None:
+        """Check that an engine does not get more than the limit that it names."""
+        if engine.rate_limit is None:
+            return
+        node = self.node_by_request.get(request_id, "")
+        self.limits.record_named(engine.engine_id)
+        if self.limits.record_arrival(node, engine.engine_id):
+            self.violations.append(f"LIMIT {request_id} sent to {engine.engine_id}")
+
     def check_crashing_part(self, request_id: str) -> None:
         """Check that few requests with a part arrive after it has crashed engines."""
         node = self.node_by_request.get(request_id, "")
@@ -235,8 +253,7 @@
         if response is None:
             self.outcomes["none"] += 1
             return
-        if LEAVING_ENGINE_HEADER in response.headers:
-            self.record_announcement(name, response.headers[LEAVING_ENGINE_HEADER])
+        self._record_passed_on(name, response)
         self.outcomes[str(response.status) if response.complete else "cut"] += 1
         if (
             response.status in NOT_RUN_STATUSES
@@ -260,6 +277,15 @@
         if not expected.startswith(response.body):
             self.violations.append(f"ORDER {name} got {response.body[-60:]!r}")
 
+    def _record_passed_on(self, request_id: str, response: fixtures.Response) -> None:
+        """Record what an engine's response told the node that passed it on."""
+        if LEAVING_ENGINE_HEADER in response.headers:
+            engine_id = response.headers[LEAVING_ENGINE_HEADER]
+            self.record_announcement(request_id, engine_id)
+        if LIMITED_ENGINE_HEADER in response.headers:
+            engine_id = response.headers[LIMITED_ENGINE_HEADER]
+            self.limits.record_told(self.node_by_request[request_id], engine_id)
+
 
 def event_bytes(request_id: str, number: int) -> bytes:
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
@@ -292,6 +318,7 @@
     async def script(engine: Engine, request: fixtures.ReceivedRequest, writer) -> None:
         checker.check_drain(request.request_id, engine.engine_id)
         checker.check_hold_off(request.request_id, engine.engine_id)
+        checker.check_limit(request.request_id, engine)
         if engine.retry_after is not None:
             checker.record_hold_off(request.request_id, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
@@ -472,6 +499,8 @@
     :param holds_off_first: whether one engine asks to be held off all the time.
     :param crashes_first: whether requests with a crashing part come all the time, and
         nothing else disturbs the nodes.
+    :param limits_first: whether one engine names a limit all the time, and nothing else
+        disturbs the nodes.
     :param fault_rates: the share in force for each kind of fault.
     :param links: the proxies before the store (first) and before each engine.
     :param version: version of the next configuration.
@@ -491,6 +520,7 @@
     announces_first: bool = False
     holds_off_first: bool = False
     crashes_first: bool = False
+    limits_first: bool = False
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
@@ -612,6 +642,9 @@
             self._start_fault(self._announce_leaving(0))
         if self.holds_off_first:
             self.engines[0].retry_after = HOLD_OFF_VALUE
+        if self.limits_first:
+            self.engines[0].rate_limit = LIMIT_VALUE
+            await asyncio.sleep(self.seconds)
         if self.crashes_first:
             await self._send_crashing_requests(self.seconds)
         while time.monotonic() < end:
@@ -656,7 +689,7 @@
 
     async def _inject_outside_fault(self, duration_s: float) -> None:
         match self.rng.choice(
-            ("link", "down", "silent", "lapse", "answers", "hold_off", "crash")
+            ("link", "down", "silent", "lapse", "answers", "hold_off", "crash", "limit")
         ):
             case "link":
                 link = self.rng.choice(self.links)
@@ -674,6 +707,8 @@
                 self.store.history_lost = True
             case "crash":
                 await self._send_crashing_requests(2 * duration_s)
+            case "limit":
+                await self._name_limit(self.rng.randrange(ENGINE_COUNT))
             case "hold_off":
                 await self._ask_for_hold_offs(
                     self.rng.randrange(ENGINE_COUNT), duration_s
@@ -707,6 +742,18 @@
         self._register(number)
         self._busy_engines.discard(number)
 
+    async def _name_limit(self, number: int) -> None:
+        """Let an engine name a limit in its responses for a while."""
+        if number in self._busy_engines:
+            return
+        self._busy_engines.add(number)
+        engine = self.engines[number]
+        engine.rate_limit = LIMIT_VALUE
+        await asyncio.sleep(LIMITED_S)
+        engine.rate_limit = None
+        self.checker.limits.record_end(engine.engine_id)
+        self._busy_engines.discard(number)
+
     def _crash(self, number: int) -> bool:
         """Crash an engine and start it again; return False if it has another fault."""
         if number in self._busy_engines:
@@ -799,7 +846,7 @@
         for name in self.fault_rates:
             self.fault_rates[name] = 0.0
         for engine in self.engines:
-            engine.retry_after = None
+            engine.retry_after = engine.rate_limit = None
         if not await self._wait_until_ready(RECOVERY_BOUND_S):
             for node in self.nodes:
                 if not await _ready(node):
@@ -869,6 +916,7 @@
     announces_first: bool = False,
     holds_off_first: bool = False,
     crashes_first: bool = False,
+    limits_first: bool = False,
 ) -> Soak:
     """Run the test with one seed and return the finished run."""
     run = Soak(
@@ -880,6 +928,7 @@
         announces_first=announces_first,
         holds_off_first=holds_off_first,
         crashes_first=crashes_first,
+        limits_first=limits_first,
     )
     await run.run()
     return run
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -110,5 +110,19 @@
     assert checker.parts.crashes_s and not checker.violations, checker.violations
 
 
+def test_requests_beyond_the_limit_that_an_engine_names_are_detected():
+    for mutant in ("ignores_rate_limits.py", "keeps_limits_alone.py"):
+        checker = _run(seconds=8.0, program=str(MUTANTS / mutant), limits_first=True)
+        assert any(line.startswith("LIMIT") for line in checker.violations), (
+            mutant,
+            checker.violations[:3],
+        )
+
+
+def test_the_limit_that_an_engine_names_is_kept():
+    checker = _run(seconds=8.0, limits_first=True)
+    assert checker.limits.told_s and not checker.violations, checker.violations
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
