Bound the bytes of a head, of framing, and of answers to orders

A backend server that sends a head, trailers or a chunk extension without end was read for as long as the request lasted: the parser keeps a header until it ends, so the node's memory grew with the sender's rate. The bytes of an answer to an order were read for half a second. All of these now end after 64 KiB with a named error and a closed connection; bodies were bounded before. The caller gets 502, as the request may have run.

test_endless_bytes failed before for heads and trailers, by connections that were not closed, and for orders, by the bytes read.

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -31,6 +31,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 BODILESS_STATUSES = (204, 304)
+# Limit of the bytes of a head, of trailers, and of everything else between two parts of
+# a body. Without it, a server that sends such bytes without end would fill the memory.
+MAX_FRAMING_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
 
 
@@ -40,6 +43,7 @@
     RESET = "connection reset"
     ENDED = "connection closed before the end of the response"
     MALFORMED = "response is not valid HTTP"
+    OVERLONG = "head or framing of the response exceeds the size limit"
     CANCELLED = "cancelled by this node"
 
 
@@ -110,6 +114,8 @@
     _head_received: bool = False
     _not_reusable: bool = False
     _lost: bool = False
+    _header_bytes: int = 0
+    _bytes_since_event: int = 0
     _queued_bytes: int = 0
     _paused: bool = False
     _no_body: bool = False
@@ -121,6 +127,10 @@
         """Whether another request may be sent on the connection."""
         return not (self._not_reusable or self._lost or self._awaiting_response)
 
+    @property
+    def _overlong(self) -> bool:
+        return max(self._header_bytes, self._bytes_since_event) > MAX_FRAMING_BYTES
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Set the TCP timeouts."""
         self._transport = transport
@@ -158,12 +168,16 @@
             # Unsolicited bytes: no request awaits a response.
             self._close_unusable()
             return
+        self._bytes_since_event += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             if self._awaiting_response:
                 self._end(ReplyFailure.MALFORMED)
             self._close_unusable()
+        if self._awaiting_response and self._overlong:
+            self._end(ReplyFailure.OVERLONG)
+            self.abort()
 
     def send(self, data: bytes, no_body: bool = False) -> None:
         """
@@ -175,6 +189,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events.clear()
         self._headers = []
+        self._header_bytes = self._bytes_since_event = 0
         self._queued_bytes = 0
         self._awaiting_response = True
         self._head_received = False
@@ -224,15 +239,17 @@
             self._close_unusable()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        self._headers.append((name, value))
+        """Store a header; trailers are skipped."""
+        self._header_bytes += len(name) + len(value)
+        if not self._head_received and not self._overlong:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Emit the head of a final response; interim ones are skipped."""
         if not self._awaiting_response:
             return
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if status < FIRST_FINAL_STATUS or self._overlong:
             return
         self._delimiter = self._body_delimiter(status)
         if (
@@ -282,6 +299,7 @@
         return BodyDelimiter.CONNECTION_CLOSE
 
     def _emit(self, event: Event) -> None:
+        self._bytes_since_event = 0
         self._events.append(event)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -356,7 +356,7 @@
                 raise TimeoutError
             case ReplyFailure.CANCELLED:
                 raise _ReplyFailed(SendFailure.SILENT, "failure domain cut off")
-            case ReplyFailure.MALFORMED:
+            case ReplyFailure.MALFORMED | ReplyFailure.OVERLONG:
                 raise _ReplyFailed(SendFailure.WRONG_ANSWER, event.value)
             case ReplyFailure():
                 raise _ReplyFailed(SendFailure.BROKEN, event.value)
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -37,6 +37,8 @@
 # Engines answer orders at once; an order that isn't answered within this time, in
 # seconds, counts as refused.
 ORDER_TIMEOUT_S = 0.5
+# Limit of the body of such an answer, in bytes; a longer one counts as refused.
+MAX_ANSWER_BYTES = 65_536
 # Number of attempts to release a reservation if the engine doesn't answer; the
 # reservation expires by itself anyway.
 RELEASE_ATTEMPTS = 2
@@ -155,6 +157,7 @@
         except ConnectError:
             return None
         head = None
+        body_bytes = 0
         complete = False
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
@@ -165,6 +168,10 @@
                     if isinstance(event, RawHead):
                         head = self._codec.decode(event)
                         self._record_head(server, head, sent_s)
+                    else:
+                        body_bytes += len(event.data)
+                        if body_bytes > MAX_ANSWER_BYTES:
+                            return None
                     event = await connection.next_event()
                 complete = isinstance(event, ReplyEnd)
         except TimeoutError:
