Bound the bodies that are read with aiohttp

A store, plain service or engine that sends a body without end was read for as long as the call lasted: 268 MB of the store's answer in a test that sends no more. Bodies over 32 MiB now end the call with a named error and close the connection.

test_an_answer_without_end_of_the_store_closes_its_connection failed before.

--- a/src/tanagerkeel/gateways/http_client.py
+++ b/src/tanagerkeel/gateways/http_client.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientHandlerType
 
 __all__ = [
+    "BodyTooLong",
     "NOT_SENT_ERRORS",
     "SendOnce",
     "WholeResponse",
@@ -19,6 +20,10 @@
 # connect timeout comes first, so that the request is known not to have been sent.
 CONNECT_SHARE = 0.8
 
+# Limit of a response's body. The store's listings, the largest ones, are paged at about
+# 1 MB, but one set of changes can hold several of them.
+MAX_BODY_BYTES = 33_554_432
+
 # Response headers that mark the end of the body without the end of the connection.
 DELIMITING_HEADERS = ("Content-Length", "Transfer-Encoding")
 # No connection was made, so the request was not sent. After any other failure it may
@@ -54,6 +59,10 @@
             return f"the answer is not valid: {error}"
 
 
+class BodyTooLong(aiohttp.ClientPayloadError):
+    """The body of a response exceeds ``MAX_BODY_BYTES``."""
+
+
 class WholeResponse(aiohttp.ClientResponse):
     """
     A response whose :meth:`read` fails if its connection broke before the end.
@@ -80,13 +89,28 @@
         Return the whole body.
 
         :raises aiohttp.ClientConnectionError: if the connection broke before the end.
+        :raises BodyTooLong: if the body exceeds ``MAX_BODY_BYTES``; the connection is
+            then closed.
         """
-        body = await super().read()
+        if self._body is None:
+            # The methods of the base class take the body from there.
+            self._body = await self._read_bounded()
         closed = self._connection_closed
         if closed is not None and closed.done() and not self._delimited:
             # Raises the error that ended the connection, if any.
             closed.result()
-        return body
+        return self._body
+
+    async def _read_bounded(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        async for part in self.content.iter_any():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                self.close()
+                raise BodyTooLong(f"body exceeds {MAX_BODY_BYTES} bytes")
+        return b"".join(parts)
 
     @property
     def _delimited(self) -> bool:
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -12,11 +12,14 @@
 import tracemalloc
 from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
+import aiohttp
 import attrs
 
-from panunumpa import PlatformBackendCodec
+from panunumpa import PlatformBackendCodec, PlatformStore
 from tanagerkeel.clock import SystemClock
 from tanagerkeel.gateways.exchange import ConnectionPool
+from tanagerkeel.gateways.http_client import WholeResponse
+from tanagerkeel.gateways.platform import PlatformUnavailable
 from tanagerkeel.relay import BackendServer
 from tanagerkeel.relay_entry._reservations import Reservation, Reservations
 from tests.platform.fixtures import (
@@ -34,6 +37,9 @@
 # the buffers of both ends of a loopback connection.
 MAX_SENT_BYTES = 16 * 1_048_576
 MAX_MEMORY_BYTES = 16 * 1_048_576
+# The same for the store, whose answers may be larger: its limit, once in parts and once
+# as a whole.
+MAX_STORE_BYTES = 2 * 32 * 1_048_576 + MAX_SENT_BYTES
 # An unlimited reader would take far more in this time, in seconds.
 MAX_SECONDS = 3.0
 CHAT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 1000,430")
@@ -224,5 +230,33 @@
             assert max(sent_bytes) < MAX_SENT_BYTES, (start, sent_bytes)
 
 
+async def test_an_answer_without_end_of_the_store_closes_its_connection():
+    for start in (
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Long: ",
+        b"HTTP/1.1 200 ",
+        b"",
+    ):
+        async with contextlib.AsyncExitStack() as stack:
+            address, sent_bytes = await stack.enter_async_context(endless_server(start))
+            session = await stack.enter_async_context(
+                aiohttp.ClientSession(response_class=WholeResponse)
+            )
+            tracemalloc.start()
+            stack.callback(tracemalloc.stop)
+            begin = time.monotonic()
+            try:
+                await PlatformStore(session, address).get("op/config")
+            except PlatformUnavailable:
+                took_s = time.monotonic() - begin
+            else:
+                raise AssertionError(f"the answer counts as an entry: {start}")
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            assert took_s < MAX_SECONDS, (start, took_s)
+            assert max(sent_bytes) < MAX_STORE_BYTES, (start, sent_bytes)
+            assert peak_bytes < MAX_STORE_BYTES, (start, peak_bytes)
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
