Blame a part for a crash in its trial whatever else ended, and scan less often

A trial is one request: its crash needs no comparison with the crashes of others. Before, a quarantined part was released when many other engines had ended between its crashes. The parts whose evidence a node repeats are looked for once a second instead of at each update. Also tests of single cases: one send for a part that never started, a second one for a sound request that ran beside, refusals at once and of requests that wait, and engines that are replaced.

test_a_crash_in_a_trial_counts_although_other_engines_ended_meanwhile guards against it.

--- a/src/tanagerkeel/relay/_part_evidence.py
+++ b/src/tanagerkeel/relay/_part_evidence.py
@@ -94,6 +94,16 @@
         newest_crash_s = max(self.crashes_s.values(), default=NEVER_S)
         return max(newest_crash_s, self.start_s, self.trial_s, self.refusal_s)
 
+    @property
+    def crashed_in_trial(self) -> bool:
+        """Whether a crash followed the last trial."""
+        newest_crash_s = max(self.crashes_s.values(), default=NEVER_S)
+        return newest_crash_s >= self.trial_s > NEVER_S
+
+    @property
+    def _is_late(self) -> bool:
+        return len(self.crashes_s) >= LATE_CRASHES
+
     def has_started(self, now: float) -> bool:
         """Return whether a request with the part started within ``START_TTL_S``."""
         return now - self.start_s <= START_TTL_S
@@ -151,10 +161,6 @@
         self.trial_s = now
         self.late_trials += self._is_late
 
-    @property
-    def _is_late(self) -> bool:
-        return len(self.crashes_s) >= LATE_CRASHES
-
     def report(self, part: int, now: float) -> PartReport:
         """Return the evidence for other nodes."""
         reported = _first_and_newest(self.crashes_s, MAX_REPORTED_CRASHES)
--- a/src/tanagerkeel/relay/_part_quarantine.py
+++ b/src/tanagerkeel/relay/_part_quarantine.py
@@ -94,8 +94,8 @@
     _pending_starts: dict[int, float] = attrs.field(factory=dict)
     # In how many more updates the evidence on a part is to be reported.
     _pending_reports: dict[int, int] = attrs.field(factory=dict)
-    # When this node last repeated the evidence on a quarantined part.
-    _repeated_s: dict[int, float] = attrs.field(factory=dict)
+    # When this node next repeats the evidence on quarantined parts.
+    _next_repeat_s: float = float("-inf")
     _on_update: Callable[[], None] | None = None
 
     def set_listener(self, on_update: Callable[[], None]) -> None:
@@ -214,8 +214,10 @@
         :param now: monotonic time, in seconds.
         """
         self._expire(now)
-        repeated = self._due_repeats(nodes, now)
-        self._repeated_s.update(dict.fromkeys(repeated, now))
+        repeated: tuple[int, ...] = ()
+        if now >= self._next_repeat_s:
+            self._next_repeat_s = now + REPEAT_INTERVAL_S
+            repeated = self._to_repeat(nodes, now)
         newest_first = (*reversed(self._pending_reports), *repeated)
         taken = tuple(dict.fromkeys(newest_first))[:MAX_REPORTS]
         for key in taken:
@@ -232,8 +234,8 @@
         :param now: monotonic time, in seconds.
         :returns: whether this node repeats any.
         """
-        self._repeated_s.clear()
-        return bool(self._due_repeats(nodes, now))
+        self._next_repeat_s = now
+        return bool(self._to_repeat(nodes, now))
 
     def merge_starts(self, starts: Iterable[StartReport], now: float) -> None:
         """Add starts that another node reported."""
@@ -298,6 +300,8 @@
         """Return whether a part is blamed, leaving out explained crashes."""
         if not evidence.is_blamed(now, explained):
             return False
+        if evidence.crashed_in_trial:
+            return True
         first_s = min(evidence.crashes_s.values())
         # Later ones say nothing: requests with a part in quarantine are not sent.
         last_s = max(evidence.crashes_s.values()) + SAME_OCCASION_S
@@ -348,12 +352,12 @@
         if self._on_update is not None:
             self._on_update()
 
-    def _due_repeats(self, nodes: tuple[str, ...], now: float) -> tuple[int, ...]:
+    def _to_repeat(self, nodes: tuple[str, ...], now: float) -> tuple[int, ...]:
+        """Return the quarantined parts whose evidence this node repeats."""
         return tuple(
             key
             for key in self._suspects
-            if now - self._repeated_s.get(key, float("-inf")) >= REPEAT_INTERVAL_S
-            and self._is_quarantined(key, now)
+            if self._is_quarantined(key, now)
             and self._node in rendezvous(str(key), nodes)[:REPEATING_NODES]
         )
 
@@ -371,7 +375,6 @@
     def _remove(self, key: int) -> None:
         del self._suspects[key]
         self._pending_reports.pop(key, None)
-        self._repeated_s.pop(key, None)
 
 
 def _hash(part: str) -> int:
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -398,7 +398,7 @@
 
     def _pacing_nodes(self, now: float) -> tuple[int, int]:
         """Return how many nodes this one hears, itself included, and of how many."""
-        nodes = self.peers.possible_senders(now)
+        nodes = frozenset(self.peers.possible_senders(now))
         heard = sum(
             now - received_s <= PEER_TIMEOUT_S and node in nodes
             for node, (received_s, _) in self._peer_retries.items()
--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_parts.py
@@ -113,6 +113,105 @@
         assert log.crashes <= LATE_CRASHES, log.arrivals
 
 
+async def test_a_request_with_a_part_that_never_started_is_sent_once():
+    log = CrashLog()
+    async with running_relay(*[log.script] * 4, service="models") as relay:
+        await send_sound(relay)
+        response = await send(relay, "aa", CRASHING_PART)
+        # The request may have run, so it must not be reported as not run.
+        assert response.status == 502
+        assert len(log.arrivals) == 1
+
+
+async def test_a_sound_request_that_ran_beside_is_sent_again():
+    log = CrashLog()
+    started = asyncio.Event()
+
+    async def script(
+        engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if not started.is_set():
+            started.set()
+            await asyncio.sleep(0.05)
+            engine.crash()
+            return
+        await log.script(engine, request, writer)
+
+    async with running_relay(script, script, service="models") as relay:
+        now = relay.node.state.clock.monotonic()
+        relay.node.state.part_quarantine.record_start(("aa",), now)
+        response = await send(relay, "aa")
+        assert response.status == 200 and response.complete
+        assert relay.received_count() == 2
+
+
+async def test_a_refusal_for_a_part_is_immediate_and_says_that_nothing_ran():
+    log = CrashLog()
+    async with running_relay(log.script, service="models") as relay:
+        quarantine(relay, CRASHING_PART)
+        response = await send(relay, "aa", CRASHING_PART)
+        assert response.status == 503 and "retry-after" not in response.headers
+        assert b'"TK-3007"' in response.body and b'"ran":"no"' in response.body
+        assert not relay.received_count()
+        assert (await send(relay, "aa")).status == 200
+
+
+async def test_a_request_that_waits_is_refused_when_its_part_is_quarantined():
+    log = CrashLog()
+    async with running_relay(log.script, service="models") as relay:
+        state = relay.node.state
+        server = state.backends.get("i-0").server
+        state.backends.hold_off(server, 1.0, state.clock.monotonic())
+        waiting = asyncio.create_task(send(relay, "aa", CRASHING_PART))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        quarantine(relay, CRASHING_PART)
+        assert (await waiting).status == 503
+        assert not relay.received_count()
+
+
+async def test_an_engine_that_is_replaced_blames_no_part():
+    async def silent(
+        engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(10)
+
+    for field in ("state", "leaving", "entry"):
+        async with running_relay(silent, service="models") as relay:
+            engine = relay.engines[0]
+            state = relay.node.state
+            waiting = asyncio.create_task(send(relay, "aa"))
+            await relay.until(lambda relay=relay: relay.received_count() == 1)
+            server = state.backends.get("i-0").server
+            match field:
+                case "state":
+                    entry = engine.store_entry("models", state="draining", sequence=2)
+                    relay.store.write("servers/i-0", entry)
+                case "leaving":
+                    state.backends.record_leaving(server)
+                case "entry":
+                    relay.store.delete("servers/i-0")
+            await relay.until(
+                lambda state=state, server=server: (
+                    not state.backends.is_expected_to_run(server)
+                )
+            )
+            engine.crash()
+            await waiting
+            await asyncio.sleep(0.1)
+            assert not state.part_quarantine._suspects, field
+
+
+def quarantine(relay: Relay, part: str) -> None:
+    """Give a node the evidence for which it quarantines a part."""
+    state = relay.node.state
+    now = state.clock.monotonic()
+    for number, crashed_s in enumerate((now - 2.0, now - 1.0)):
+        state.part_quarantine.record_crash([(part,)], f"engine {number}", crashed_s)
+    state.part_quarantine.record_start(("other",), now)
+    state.notify_changed()
+
+
 def shared_parts(value: bytes | None) -> tuple[str, ...]:
     """Return the shared parts that the codec reads from a header's value."""
     headers = [(b"tanagerkeel-token-count", b"1000,430")]
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -277,6 +277,20 @@
         assert fleet.late_arrivals() <= MAX_LATE_REQUESTS, fleet.arrivals_s
 
 
+def test_a_crash_in_a_trial_counts_although_other_engines_ended_meanwhile():
+    node = PartQuarantine("node-1")
+    node.record_start(("aa",), 0.5)
+    for crash_s in (1.0, 2.0):
+        node.record_crash([("dead",)], f"engine {crash_s}", crash_s)
+        node.record_start(("aa",), crash_s + 0.1)
+    for number in range(12):
+        node.record_crash([("aa",)], f"other {number}", 4.0)
+    assert node.acquire_send(("dead",), 20.0) is None
+    assert node.acquire_send(("dead",), 20.1) == "dead"
+    node.record_crash([("dead",)], "engine 3", 20.2)
+    assert node.acquire_send(("dead",), 20.3) == "dead"
+
+
 def test_crashes_of_all_requests_alike_say_nothing_about_a_part():
     node = PartQuarantine("node-1")
     for number in range(10):
