--- a/src/tanagerkeel/relay/_part_quarantine.py
+++ b/src/tanagerkeel/relay/_part_quarantine.py
@@ -213,13 +213,13 @@
         :param nodes: ids of all nodes, this one included.
         :param now: monotonic time, in seconds.
         """
-        self._expire(now)
         repeated: tuple[int, ...] = ()
         if now >= self._next_repeat_s:
             self._next_repeat_s = now + REPEAT_INTERVAL_S
+            self._expire(now)
             repeated = self._to_repeat(nodes, now)
-        newest_first = (*reversed(self._pending_reports), *repeated)
-        taken = tuple(dict.fromkeys(newest_first))[:MAX_REPORTS]
+        pending = itertools.islice(reversed(self._pending_reports), MAX_REPORTS)
+        taken = tuple(dict.fromkeys((*pending, *repeated)))[:MAX_REPORTS]
         for key in taken:
             left = self._pending_reports.pop(key, 0) - 1
             if left > 0:
