--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -25,7 +25,6 @@
 from tanagerkeel.relay._hold_off import HoldOffTable, parse_retry_after
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
 from tanagerkeel.relay._migration import expected_pause_ms, should_migrate
-from tanagerkeel.relay._part_quarantine import PartQuarantine, PartReport, StartReport
 from tanagerkeel.relay._pass_model import (
     DecodeBatch,
     Prefill,
@@ -45,6 +44,11 @@
     parse_rate_limit,
 )
 from tanagerkeel.relay._retry_budget import SharedRetryBudget
+from tanagerkeel.relay._section_quarantine import (
+    SectionQuarantine,
+    SectionReport,
+    StartReport,
+)
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
 from tanagerkeel.relay._watching import (
     SMALL_FLEET_NODES,
@@ -80,8 +84,8 @@
     "AssignmentTable",
     "SendFailure",
     "ModelDemand",
-    "PartQuarantine",
-    "PartReport",
+    "SectionQuarantine",
+    "SectionReport",
     "RelayPlacement",
     "Prefill",
     "RateLimitTable",
--- a/src/tanagerkeel/relay/_messages.py
+++ b/src/tanagerkeel/relay/_messages.py
@@ -15,15 +15,15 @@
     :param model: name of the model.
     :param prompt_tokens: length of the prompt.
     :param answer_tokens: maximum length of the answer, in tokens.
-    :param shared_parts: ids of the parts of its prompt that it may share with other
-        requests, in their order, each once; the last part, which is its own, is not
-        among them.
+    :param shared_sections: ids of the sections of its prompt that it may share with
+        other requests, in their order, each once; the last one, which is its own, is
+        not among them.
     """
 
     model: str
     prompt_tokens: int
     answer_tokens: int
-    shared_parts: tuple[str, ...] = ()
+    shared_sections: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay/_rate_limit.py
+++ b/src/tanagerkeel/relay/_rate_limit.py
@@ -4,8 +4,8 @@
 Load pattern: a backend server in need names a limit for all nodes together, while each
 node sees only its own sends. Each node reports its sends to the others at once, and all
 pace their sends by the newest one of any node. Nodes that are waiting for the same
-moment would send together before the report arrives, so each adds a delay of its own.
-A limit has several lanes that are paced independently, as one lane could not carry many
+moment would send together before the report arrives, so each adds a delay of its own. A
+limit has several tracks that are paced independently, as one track could not carry many
 requests per second at these delays.
 """
 
@@ -28,9 +28,9 @@
 # A backend server that names less, in requests per second, is still sent this many: it
 # can only say in a response that its limit has ended.
 MIN_PER_S = 0.1
-# Time between two requests in the same lane, in seconds, at the least.
-MIN_LANE_INTERVAL_S = 0.5
-MAX_LANES = 16
+# Time between two requests in the same track, in seconds, at the least.
+MIN_TRACK_INTERVAL_S = 0.5
+MAX_TRACKS = 16
 # Longest delay of a node's own, in seconds for each node. A report arrives within it.
 STAGGER_S = 0.02
 # After the end of a limit none is adopted for this time, in seconds: peers that are not
@@ -49,7 +49,7 @@
 
 # Id and start time of a backend server, which identify one run of its process.
 Incarnation = tuple[str, int]
-# Id and start time of a backend server, its limit in requests per 1,000 s, the lane,
+# Id and start time of a backend server, its limit in requests per 1,000 s, the track,
 # and the send's age in milliseconds. ``ENDED`` instead of the limit: it ended then.
 SendReport = tuple[str, int, int, int, int]
 ENDED = -1
@@ -72,13 +72,13 @@
 
     :param per_s: requests per second over all nodes.
     :param named_s: when it was last named.
-    :param lanes_s: time of the newest send of any node, by the number of the lane.
-    :param own_s: time of this node's newest send, by the number of the lane.
+    :param tracks_s: time of the newest send of any node, by the number of the track.
+    :param own_s: time of this node's newest send, by the number of the track.
     """
 
     per_s: float
     named_s: float
-    lanes_s: dict[int, float] = attrs.field(factory=dict)
+    tracks_s: dict[int, float] = attrs.field(factory=dict)
     own_s: dict[int, float] = attrs.field(factory=dict)
 
     @property
@@ -86,9 +86,9 @@
         return max(MIN_PER_S, USED_SHARE * self.per_s)
 
     @property
-    def lane_count(self) -> int:
-        lanes = math.floor(self.used_per_s * MIN_LANE_INTERVAL_S)
-        return min(MAX_LANES, max(1, lanes))
+    def track_count(self) -> int:
+        tracks = math.floor(self.used_per_s * MIN_TRACK_INTERVAL_S)
+        return min(MAX_TRACKS, max(1, tracks))
 
 
 @attrs.define
@@ -176,7 +176,7 @@
         limit = self._limits.get(incarnation)
         if limit is None:
             return now
-        _, next_s = self._earliest_lane(incarnation, limit, heard, nodes)
+        _, next_s = self._earliest_track(incarnation, limit, heard, nodes)
         return max(now, next_s)
 
     def record_send(
@@ -192,22 +192,22 @@
         limit = self._limits.get(incarnation)
         if limit is None:
             return False
-        lane, _ = self._earliest_lane(incarnation, limit, heard, nodes)
-        limit.lanes_s[lane] = limit.own_s[lane] = now
+        track, _ = self._earliest_track(incarnation, limit, heard, nodes)
+        limit.tracks_s[track] = limit.own_s[track] = now
         return True
 
     def reports(self, now: float) -> tuple[SendReport, ...]:
         """Return this node's newest sends, and the limits that ended, newest first."""
         sends = (
-            (sent_s, incarnation, int(1_000 * limit.per_s), lane)
+            (sent_s, incarnation, int(1_000 * limit.per_s), track)
             for incarnation, limit in self._limits.items()
-            for lane, sent_s in limit.own_s.items()
+            for track, sent_s in limit.own_s.items()
         )
         ends = ((s, incarnation, ENDED, 0) for incarnation, s in self._ended_s.items())
         recent = (r for r in itertools.chain(sends, ends) if now - r[0] <= REPORT_S)
         return tuple(
-            (*incarnation, milli_per_s, lane, int(1_000 * (now - time_s)))
-            for time_s, incarnation, milli_per_s, lane in heapq.nlargest(
+            (*incarnation, milli_per_s, track, int(1_000 * (now - time_s)))
+            for time_s, incarnation, milli_per_s, track in heapq.nlargest(
                 MAX_REPORTS, recent
             )
         )
@@ -219,19 +219,19 @@
         This node then also keeps a limit that was not named to it yet, until a response
         to it or to another node names none.
         """
-        for backend_id, started_ms, milli_per_s, lane, age_ms in reports:
+        for backend_id, started_ms, milli_per_s, track, age_ms in reports:
             incarnation = (backend_id, started_ms)
             sent_s = now - max(0, age_ms) / 1_000
             if milli_per_s < 0:
                 self.record_not_named(incarnation, sent_s)
-            elif 0 <= lane < MAX_LANES:
-                self._merge_send(incarnation, milli_per_s / 1_000, lane, sent_s, now)
+            elif 0 <= track < MAX_TRACKS:
+                self._merge_send(incarnation, milli_per_s / 1_000, track, sent_s, now)
 
     def _merge_send(
         self,
         incarnation: Incarnation,
         per_s: float,
-        lane: int,
+        track: int,
         sent_s: float,
         now: float,
     ) -> None:
@@ -245,35 +245,35 @@
         limit = self._limits.get(incarnation)
         if limit is None:
             return
-        known_s = limit.lanes_s.get(lane, float("-inf"))
+        known_s = limit.tracks_s.get(track, float("-inf"))
         # The same send arrives several times, each after another delay.
         if sent_s > known_s + SAME_SEND_S:
-            limit.lanes_s[lane] = sent_s
+            limit.tracks_s[track] = sent_s
 
-    def _earliest_lane(
+    def _earliest_track(
         self, incarnation: Incarnation, limit: _Limit, heard: int, nodes: int
     ) -> tuple[int, float]:
         # Nodes that don't hear each other divide the limit between them.
         per_s = max(MIN_PER_S / nodes, limit.used_per_s * min(heard, nodes) / nodes)
-        interval_s = limit.lane_count / per_s
+        interval_s = limit.track_count / per_s
         times = (
             (
-                limit.lanes_s.get(lane, limit.named_s - interval_s)
+                limit.tracks_s.get(track, limit.named_s - interval_s)
                 + interval_s
-                + self._stagger_s(incarnation, limit, lane, nodes),
-                lane,
+                + self._stagger_s(incarnation, limit, track, nodes),
+                track,
             )
-            for lane in range(limit.lane_count)
+            for track in range(limit.track_count)
         )
-        next_s, lane = min(times)
-        return lane, next_s
+        next_s, track = min(times)
+        return track, next_s
 
     def _stagger_s(
-        self, incarnation: Incarnation, limit: _Limit, lane: int, nodes: int
+        self, incarnation: Incarnation, limit: _Limit, track: int, nodes: int
     ) -> float:
-        """Return this node's own delay, which differs after each send in the lane."""
+        """Return this node's own delay, which differs after each send in the track."""
         if nodes <= 1:
             return 0.0
-        last_s = limit.lanes_s.get(lane, 0.0)
-        key = f"{self._node} {incarnation} {lane} {last_s}"
+        last_s = limit.tracks_s.get(track, 0.0)
+        key = f"{self._node} {incarnation} {track} {last_s}"
         return STAGGER_S * nodes * xxhash.xxh32_intdigest(key.encode()) / 2**32
--- a/src/tanagerkeel/relay/_part_evidence.py
+++ b/src/tanagerkeel/relay/_section_evidence.py
@@ -1,25 +1,27 @@
 """
-What is known of one part of prompts: the crashes it may have caused, and its starts.
+What is known of one section of prompts: the crashes it may have caused, and its starts.
 
-A start is a request with the part whose answer began. A crash is the end of a backend
-server while a request with the part ran there and its answer had not begun. A part that
-crashes every backend server never starts, so only crashes after the last start count.
+A start is a request with the section whose answer began. A crash is the end of a
+backend server while a request with the section ran there and its answer had not begun.
+A section that crashes every backend server never starts, so only crashes after the last
+start count.
 """
 
 from collections.abc import Collection
 
 import attrs
 
-__all__ = ["SAME_OCCASION_S", "START_TTL_S", "PartEvidence", "PartReport"]
+__all__ = ["SAME_OCCASION_S", "START_TTL_S", "SectionEvidence", "SectionReport"]
 
 # Crashes that begin within this time after the first of them, in seconds, count once:
 # backend servers that lose power or are stopped together end at the same moment.
 SAME_OCCASION_S = 0.2
-# Distinct occasions after which a part that never started is quarantined, and one that
-# has started. The latter is far more often only beside the cause.
+# Distinct occasions after which a section that never started is quarantined, and one
+# that has started. The latter is far more often only beside the cause.
 OCCASIONS_WITHOUT_START = 2
 OCCASIONS_WITH_START = 4
-# Time without a start after which a part counts as one that never started, in seconds.
+# Time without a start after which a section counts as one that never started, in
+# seconds.
 START_TTL_S = 120.0
 # Number of crashes from which trials are limited to ``MAX_LATE_TRIALS``. Users bound
 # what may be sent after the fifth crash.
@@ -29,31 +31,32 @@
 # crashes; the last value is for all higher numbers.
 TRIAL_DELAYS_S = {2: 5.0, 3: 20.0, 4: 80.0, 5: 320.0}
 LAST_TRIAL_DELAY_S = 1_280.0
-# The same for a part that has started, until its first late trial.
+# The same for a section that has started, until its first late trial.
 STARTED_TRIAL_DELAY_S = 1.0
-# Limits of the crashes that are kept, and reported, for one part: the first one, from
-# which occasions are counted, and the newest.
+# Limits of the crashes that are kept, and reported, for one section: the first one,
+# from which occasions are counted, and the newest.
 MAX_CRASHES = 32
 MAX_REPORTED_CRASHES = 8
 NEVER_S = float("-inf")
 
 
 @attrs.frozen
-class PartReport:
+class SectionReport:
     """
-    The evidence on one part, as nodes exchange it; ages in milliseconds, -1 for never.
+    The evidence on one section, as nodes exchange it; ages in milliseconds, -1 for
+    never.
 
-    :param part: hash of the part's id.
+    :param section: hash of the section's id.
     :param crashes: hash and age of each crash.
     :param start_age_ms: age of the last start.
     :param trial_age_ms: age of the last trial.
     :param late_trials: number of trials after ``LATE_CRASHES`` crashes.
-    :param refusal_age_ms: age of the last refusal of a request with the part.
-    :param others_started: whether requests without the part have started since its
+    :param refusal_age_ms: age of the last refusal of a request with the section.
+    :param others_started: whether requests without the section have started since its
         first crash.
     """
 
-    part: int
+    section: int
     crashes: tuple[tuple[int, int], ...] = ()
     start_age_ms: int = -1
     trial_age_ms: int = -1
@@ -68,17 +71,17 @@
 
 
 @attrs.define
-class PartEvidence:
+class SectionEvidence:
     """
-    The evidence on one part; times are monotonic, in seconds.
+    The evidence on one section; times are monotonic, in seconds.
 
     :param crashes_s: time of each crash since the last start, by the crash's hash.
     :param start_s: time of the last start.
     :param trial_s: time of the last trial.
     :param late_trials: number of trials after ``LATE_CRASHES`` crashes.
-    :param refusal_s: time of the last refusal of a request with the part.
-    :param others_started: whether requests without the part have started since its
-        first crash. If none has, the crashes say nothing about the part.
+    :param refusal_s: time of the last refusal of a request with the section.
+    :param others_started: whether requests without the section have started since its
+        first crash. If none has, the crashes say nothing about the section.
     """
 
     crashes_s: dict[int, float] = attrs.field(factory=dict)
@@ -105,7 +108,7 @@
         return len(self.crashes_s) >= LATE_CRASHES
 
     def has_started(self, now: float) -> bool:
-        """Return whether a request with the part started within ``START_TTL_S``."""
+        """Return whether a request with the section started within ``START_TTL_S``."""
         return now - self.start_s <= START_TTL_S
 
     def add_crash(self, crash: int, crashed_s: float) -> bool:
@@ -117,7 +120,7 @@
         return crash in self.crashes_s
 
     def add_start(self, started_s: float) -> bool:
-        """Count a start; return whether it cleared the part of any crash."""
+        """Count a start; return whether it cleared the section of any crash."""
         self.start_s = max(self.start_s, started_s)
         kept = {c: s for c, s in self.crashes_s.items() if s > self.start_s}
         cleared = len(kept) < len(self.crashes_s)
@@ -129,10 +132,10 @@
 
     def is_blamed(self, now: float, explained: Collection[int] = ()) -> bool:
         """
-        Return whether the evidence suffices to quarantine the part.
+        Return whether the evidence suffices to quarantine the section.
 
         :param now: monotonic time, in seconds.
-        :param explained: hashes of crashes that another part has caused.
+        :param explained: hashes of crashes that another section has caused.
         """
         times_s = (s for c, s in self.crashes_s.items() if c not in explained)
         needed = (
@@ -140,14 +143,14 @@
         )
         return self.others_started and _occasions(sorted(times_s)) >= needed
 
-    def outweighs(self, other: "PartEvidence", now: float) -> bool:
-        """Return whether crashes of both parts are blamed on this one alone."""
+    def outweighs(self, other: "SectionEvidence", now: float) -> bool:
+        """Return whether crashes of both sections are blamed on this one alone."""
         if self.has_started(now) != other.has_started(now):
             return other.has_started(now)
         return len(self.crashes_s) > len(other.crashes_s)
 
     def trial_due(self, now: float) -> bool:
-        """Return whether one request with the part may be sent as a trial."""
+        """Return whether one request with the section may be sent as a trial."""
         if self._is_late and self.late_trials >= MAX_LATE_TRIALS:
             return False
         delay_s = TRIAL_DELAYS_S.get(len(self.crashes_s), LAST_TRIAL_DELAY_S)
@@ -161,11 +164,11 @@
         self.trial_s = now
         self.late_trials += self._is_late
 
-    def report(self, part: int, now: float) -> PartReport:
+    def report(self, section: int, now: float) -> SectionReport:
         """Return the evidence for other nodes."""
         reported = _first_and_newest(self.crashes_s, MAX_REPORTED_CRASHES)
-        return PartReport(
-            part,
+        return SectionReport(
+            section,
             tuple((c, _age_ms(s, now)) for c, s in reported.items()),
             _age_ms(self.start_s, now),
             _age_ms(self.trial_s, now),
@@ -174,7 +177,7 @@
             self.others_started,
         )
 
-    def merge(self, report: PartReport, now: float) -> None:
+    def merge(self, report: SectionReport, now: float) -> None:
         """Add another node's evidence."""
         for crash, age_ms in report.crashes[:MAX_REPORTED_CRASHES]:
             self.add_crash(crash, now - max(0, age_ms) / 1_000)
--- a/src/tanagerkeel/relay/_part_quarantine.py
+++ b/src/tanagerkeel/relay/_section_quarantine.py
@@ -1,11 +1,11 @@
 """
-Quarantine of prompt parts that crash the engines which answer requests with them.
+Quarantine of prompt sections that crash the engines which answer requests with them.
 
-Load pattern: requests that share a part of their prompts, and otherwise nothing, arrive
-at any node, and each ends the engine that runs it, with all other requests there. It is
-decided from the crashes of engines while such requests ran there, from the answers that
-began, and from the reports of other nodes. The part that a request has for itself is
-not considered: the quarantine of whole requests covers it.
+Load pattern: requests that share a section of their prompts, and otherwise nothing,
+arrive at any node, and each ends the engine that runs it, with all other requests
+there. It is decided from the crashes of engines while such requests ran there, from the
+answers that began, and from the reports of other nodes. The section that a request has
+for itself is not considered: the quarantine of whole requests covers it.
 """
 
 import collections
@@ -15,38 +15,38 @@
 import attrs
 import xxhash
 
-from tanagerkeel.relay._part_evidence import (
+from tanagerkeel.relay._section_evidence import (
     SAME_OCCASION_S,
     START_TTL_S,
-    PartEvidence,
-    PartReport,
+    SectionEvidence,
+    SectionReport,
 )
 from tanagerkeel.rendezvous import rendezvous
 
-__all__ = ["PartQuarantine", "PartReport", "StartReport"]
+__all__ = ["SectionQuarantine", "SectionReport", "StartReport"]
 
-# Limits of the parts with crashes and of the parts with starts that are remembered; the
-# least recently changed one is dropped.
+# Limits of the sections with crashes and of the sections with starts that are
+# remembered; the least recently changed one is dropped.
 MAX_SUSPECTS = 512
 MAX_STARTS = 8_192
-# Share of the crashes from a part's first to its last one that must be with the part.
-# Two parts that crash engines at the same time share them; engines that end for other
-# reasons had different parts.
+# Share of the crashes from a section's first to its last one that must be with the
+# section. Two sections that crash engines at the same time share them; engines that end
+# for other reasons had different sections.
 MIN_CRASH_SHARE = 0.3
 # Limit of the crashes that are remembered, the newest ones.
 MAX_CRASHES = 256
-# Time without new evidence or a request with the part after which it is forgotten, in
-# seconds.
+# Time without new evidence or a request with the section after which it is forgotten,
+# in seconds.
 SUSPECT_TTL_S = 600.0
-# A start is reported when no node has reported one of the part for this time, in
+# A start is reported when no node has reported one of the section for this time, in
 # seconds: less than the time for which a start counts.
 START_REPORT_INTERVAL_S = 60.0
-# The same for refusals, which keep a part in quarantine.
+# The same for refusals, which keep a section in quarantine.
 REFUSAL_REPORT_INTERVAL_S = 60.0
 # In how many updates new evidence is reported, in case some of them are lost.
 REPORT_REPEATS = 3
-# Number of nodes that repeat the evidence on a quarantined part in all their updates,
-# for nodes that were restarted or cut off.
+# Number of nodes that repeat the evidence on a quarantined section in all their
+# updates, for nodes that were restarted or cut off.
 REPEATING_NODES = 3
 # Interval of that, in seconds.
 REPEAT_INTERVAL_S = 1.0
@@ -58,43 +58,43 @@
 MAX_START_REPORTS = 16
 MAX_PENDING_STARTS = 1_024
 
-# Hash of a part's id, and the age of the start in milliseconds.
+# Hash of a section's id, and the age of the start in milliseconds.
 StartReport = tuple[int, int]
 
 
 @attrs.define
-class PartQuarantine:
+class SectionQuarantine:
     """
-    Decides which requests are refused for a part of their prompts.
+    Decides which requests are refused for a section of their prompts.
 
-    Requests with a quarantined part are not sent, apart from a few trials. One whose
+    Requests with a quarantined section are not sent, apart from a few trials. One whose
     answer begins ends the quarantine. Times are monotonic, in seconds.
 
     :param node: this node's id.
     """
 
     _node: str
-    # By the hash of the part's id, the least recently changed first.
-    _suspects: "collections.OrderedDict[int, PartEvidence]" = attrs.field(
+    # By the hash of the section's id, the least recently changed first.
+    _suspects: "collections.OrderedDict[int, SectionEvidence]" = attrs.field(
         factory=collections.OrderedDict
     )
     # Times of all crashes, by their hashes, the newest last.
     _crashes_s: "collections.OrderedDict[int, float]" = attrs.field(
         factory=collections.OrderedDict
     )
-    # Time of the last start of each part, by the hash of its id.
+    # Time of the last start of each section, by the hash of its id.
     _starts_s: "collections.OrderedDict[int, float]" = attrs.field(
         factory=collections.OrderedDict
     )
-    # When a start of each part was last reported, by this or another node.
+    # When a start of each section was last reported, by this or another node.
     _start_reports_s: "collections.OrderedDict[int, float]" = attrs.field(
         factory=collections.OrderedDict
     )
-    # Starts that are to be reported, by the hash of the part's id.
+    # Starts that are to be reported, by the hash of the section's id.
     _pending_starts: dict[int, float] = attrs.field(factory=dict)
-    # In how many more updates the evidence on a part is to be reported.
+    # In how many more updates the evidence on a section is to be reported.
     _pending_reports: dict[int, int] = attrs.field(factory=dict)
-    # When this node next repeats the evidence on quarantined parts.
+    # When this node next repeats the evidence on quarantined sections.
     _next_repeat_s: float = float("-inf")
     _on_update: Callable[[], None] | None = None
 
@@ -102,26 +102,28 @@
         """Set the callback for when there is new evidence for the peers."""
         self._on_update = on_update
 
-    def quarantined_part(self, parts: Sequence[str], now: float) -> str | None:
+    def quarantined_section(self, sections: Sequence[str], now: float) -> str | None:
         """
-        Return a part for which a request must not be sent now; None if there is none.
+        Return a section for which a request must not be sent now; None if there is
+        none.
 
-        :param parts: ids of the shared parts of the request's prompt.
+        :param sections: ids of the shared sections of the request's prompt.
         :param now: monotonic time, in seconds.
         """
-        blamed = self._blamed(parts, now)
+        blamed = self._blamed(sections, now)
         if not blamed or self._allows_trial(blamed, now):
             return None
         return blamed[0]
 
-    def acquire_send(self, parts: Sequence[str], now: float) -> str | None:
+    def acquire_send(self, sections: Sequence[str], now: float) -> str | None:
         """
-        Count a send if the request may be sent now; else return the part that forbids.
+        Count a send if the request may be sent now; else return the section that
+        forbids.
 
-        :param parts: ids of the shared parts of the request's prompt.
+        :param sections: ids of the shared sections of the request's prompt.
         :param now: monotonic time, in seconds.
         """
-        blamed = self._blamed(parts, now)
+        blamed = self._blamed(sections, now)
         if not blamed:
             return None
         if not self._allows_trial(blamed, now):
@@ -131,21 +133,21 @@
         self._report(key)
         return None
 
-    def may_send_again(self, parts: Sequence[str], now: float) -> bool:
+    def may_send_again(self, sections: Sequence[str], now: float) -> bool:
         """
         Return whether a request may be sent again after a crash before its answer.
 
-        That is the case if every shared part has started lately and was in no other
+        That is the case if every shared section has started lately and was in no other
         crash since: then the cause is more likely a request that ran beside it.
         """
-        suspects = [self._suspects.get(_hash(part)) for part in parts]
-        return all(self._has_started(part, now) for part in parts) and all(
+        suspects = [self._suspects.get(_hash(section)) for section in sections]
+        return all(self._has_started(section, now) for section in sections) and all(
             len(evidence.crashes_s) <= 1 for evidence in suspects if evidence
         )
 
-    def record_refusal(self, part: str, now: float) -> None:
-        """Record that a request was refused for a quarantined part."""
-        key = _hash(part)
+    def record_refusal(self, section: str, now: float) -> None:
+        """Record that a request was refused for a quarantined section."""
+        key = _hash(section)
         evidence = self._suspects.get(key)
         if evidence is None:
             return
@@ -161,27 +163,29 @@
         """
         Record that an engine crashed while answers on it had not begun.
 
-        :param attempts: the shared parts of each request whose answer had not begun.
+        :param attempts: the shared sections of each request whose answer had not begun.
         :param crash: identifies the crash; the same at all nodes.
         :param now: monotonic time, in seconds.
-        :returns: the parts that are quarantined since this crash.
+        :returns: the sections that are quarantined since this crash.
         """
         self._expire(now)
         crash_hash = xxhash.xxh32_intdigest(crash.encode())
         self._put_crash(crash_hash, now)
         quarantined = []
-        for part in dict.fromkeys(p for a in attempts for p in self._charged(a, now)):
-            before = self._is_quarantined(_hash(part), now)
-            evidence = self._suspect(_hash(part), now)
+        for section in dict.fromkeys(
+            p for a in attempts for p in self._charged(a, now)
+        ):
+            before = self._is_quarantined(_hash(section), now)
+            evidence = self._suspect(_hash(section), now)
             if evidence.add_crash(crash_hash, now):
-                self._report(_hash(part))
-            if not before and self._is_quarantined(_hash(part), now):
-                quarantined.append(part)
+                self._report(_hash(section))
+            if not before and self._is_quarantined(_hash(section), now):
+                quarantined.append(section)
         return tuple(quarantined)
 
-    def record_start(self, parts: Sequence[str], now: float) -> None:
-        """Record that the answer to a request with these shared parts has begun."""
-        started = {_hash(part) for part in parts}
+    def record_start(self, sections: Sequence[str], now: float) -> None:
+        """Record that the answer to a request with these shared sections has begun."""
+        started = {_hash(section) for section in sections}
         for key, evidence in self._suspects.items():
             if key not in started:
                 evidence.others_started |= bool(evidence.crashes_s)
@@ -197,7 +201,7 @@
                 self._pending_starts[key] = now
 
     def take_starts(self, now: float) -> tuple[StartReport, ...]:
-        """Return starts of parts that other nodes may not know, each once."""
+        """Return starts of sections that other nodes may not know, each once."""
         taken = dict(list(self._pending_starts.items())[:MAX_START_REPORTS])
         for key in taken:
             del self._pending_starts[key]
@@ -206,7 +210,7 @@
 
     def take_reports(
         self, nodes: tuple[str, ...], now: float
-    ) -> tuple[PartReport, ...]:
+    ) -> tuple[SectionReport, ...]:
         """
         Return the evidence for the next update to the peers.
 
@@ -228,7 +232,7 @@
 
     def repeat_soon(self, nodes: tuple[str, ...], now: float) -> bool:
         """
-        Repeat the evidence on quarantined parts in the next update.
+        Repeat the evidence on quarantined sections in the next update.
 
         :param nodes: ids of all nodes, this one included.
         :param now: monotonic time, in seconds.
@@ -248,7 +252,7 @@
                 self._suspects[key].add_start(started_s)
 
     def merge_reports(
-        self, reports: Iterable[PartReport], nodes: tuple[str, ...], now: float
+        self, reports: Iterable[SectionReport], nodes: tuple[str, ...], now: float
     ) -> None:
         """
         Add evidence that another node reported, and answer it with a newer start.
@@ -259,26 +263,26 @@
         """
         self._expire(now)
         for report in itertools.islice(reports, MAX_REPORTS):
-            evidence = self._suspect(report.part, now)
+            evidence = self._suspect(report.section, now)
             known_start_s = evidence.start_s
             evidence.merge(report, now)
             for crash, crashed_s in evidence.crashes_s.items():
                 self._put_crash(crash, crashed_s)
             if report.start_age_ms >= 0:
-                self._put_start(report.part, evidence.start_s)
+                self._put_start(report.section, evidence.start_s)
             if report.refuted_by(known_start_s, now) and self._answers(
-                report.part, nodes
+                report.section, nodes
             ):
-                self._report(report.part)
+                self._report(report.section)
 
     def quarantined_count(self, now: float) -> int:
-        """Return how many parts are quarantined."""
+        """Return how many sections are quarantined."""
         return sum(self._is_quarantined(key, now) for key in self._suspects)
 
-    def _blamed(self, parts: Sequence[str], now: float) -> tuple[str, ...]:
+    def _blamed(self, sections: Sequence[str], now: float) -> tuple[str, ...]:
         if not self._suspects:
             return ()
-        return tuple(p for p in parts if self._is_quarantined(_hash(p), now))
+        return tuple(p for p in sections if self._is_quarantined(_hash(p), now))
 
     def _is_quarantined(self, key: int, now: float) -> bool:
         evidence = self._suspects.get(key)
@@ -295,15 +299,15 @@
         return self._is_blamed(evidence, now, explained)
 
     def _is_blamed(
-        self, evidence: PartEvidence, now: float, explained: Collection[int] = ()
+        self, evidence: SectionEvidence, now: float, explained: Collection[int] = ()
     ) -> bool:
-        """Return whether a part is blamed, leaving out explained crashes."""
+        """Return whether a section is blamed, leaving out explained crashes."""
         if not evidence.is_blamed(now, explained):
             return False
         if evidence.crashed_in_trial:
             return True
         first_s = min(evidence.crashes_s.values())
-        # Later ones say nothing: requests with a part in quarantine are not sent.
+        # Later ones say nothing: requests with a section in quarantine are not sent.
         last_s = max(evidence.crashes_s.values()) + SAME_OCCASION_S
         crashes = sum(
             first_s <= s <= last_s and c not in explained
@@ -313,20 +317,20 @@
         return own_crashes >= MIN_CRASH_SHARE * crashes
 
     def _allows_trial(self, blamed: Sequence[str], now: float) -> bool:
-        """Return whether a request may show whether its only blamed part is sound."""
+        """Return whether a request may test whether its blamed section is sound."""
         return len(blamed) == 1 and self._suspects[_hash(blamed[0])].trial_due(now)
 
-    def _charged(self, parts: tuple[str, ...], now: float) -> tuple[str, ...]:
-        """Return the parts of a request that may have caused a crash."""
-        return self._blamed(parts, now) or parts
+    def _charged(self, sections: tuple[str, ...], now: float) -> tuple[str, ...]:
+        """Return the sections of a request that may have caused a crash."""
+        return self._blamed(sections, now) or sections
 
-    def _has_started(self, part: str, now: float) -> bool:
-        return now - self._starts_s.get(_hash(part), float("-inf")) <= START_TTL_S
+    def _has_started(self, section: str, now: float) -> bool:
+        return now - self._starts_s.get(_hash(section), float("-inf")) <= START_TTL_S
 
-    def _suspect(self, key: int, now: float) -> PartEvidence:
+    def _suspect(self, key: int, now: float) -> SectionEvidence:
         evidence = self._suspects.get(key)
         if evidence is None:
-            evidence = PartEvidence(start_s=self._starts_s.get(key, float("-inf")))
+            evidence = SectionEvidence(start_s=self._starts_s.get(key, float("-inf")))
             self._suspects[key] = evidence
             while len(self._suspects) > MAX_SUSPECTS:
                 self._remove(self._least_important(now))
@@ -334,7 +338,7 @@
         return evidence
 
     def _least_important(self, now: float) -> int:
-        """Return the part with the oldest evidence, if possible not a blamed one."""
+        """Return the section with the oldest evidence, if possible not a blamed one."""
         unblamed = (k for k, e in self._suspects.items() if not e.is_blamed(now))
         return next(unblamed, next(iter(self._suspects)))
 
@@ -353,7 +357,7 @@
             self._on_update()
 
     def _to_repeat(self, nodes: tuple[str, ...], now: float) -> tuple[int, ...]:
-        """Return the quarantined parts whose evidence this node repeats."""
+        """Return the quarantined sections whose evidence this node repeats."""
         return tuple(
             key
             for key in self._suspects
@@ -377,8 +381,8 @@
         self._pending_reports.pop(key, None)
 
 
-def _hash(part: str) -> int:
-    return xxhash.xxh64_intdigest(part.encode())
+def _hash(section: str) -> int:
+    return xxhash.xxh64_intdigest(section.encode())
 
 
 def _put_newest(
--- a/src/tanagerkeel/relay/_unstarted_attempts.py
+++ b/src/tanagerkeel/relay/_unstarted_attempts.py
@@ -19,27 +19,27 @@
     answer has begun has shown that its prompt can be answered.
     """
 
-    _parts: dict[Incarnation, dict[str, tuple[str, ...]]] = attrs.field(factory=dict)
+    _sections: dict[Incarnation, dict[str, tuple[str, ...]]] = attrs.field(factory=dict)
 
     def add(
-        self, incarnation: Incarnation, attempt_id: str, parts: tuple[str, ...]
+        self, incarnation: Incarnation, attempt_id: str, sections: tuple[str, ...]
     ) -> None:
         """
         Record that an attempt was sent.
 
         :param incarnation: the backend server that runs it.
         :param attempt_id: unique id of the attempt.
-        :param parts: the shared parts of the request's prompt.
+        :param sections: the shared sections of the request's prompt.
         """
-        self._parts.setdefault(incarnation, {})[attempt_id] = parts
+        self._sections.setdefault(incarnation, {})[attempt_id] = sections
 
     def discard(self, incarnation: Incarnation, attempt_id: str) -> None:
         """Forget an attempt whose answer has begun, or that has ended."""
-        attempts = self._parts.get(incarnation, {})
+        attempts = self._sections.get(incarnation, {})
         attempts.pop(attempt_id, None)
         if not attempts:
-            self._parts.pop(incarnation, None)
+            self._sections.pop(incarnation, None)
 
-    def parts_of(self, incarnation: Incarnation) -> Iterator[tuple[str, ...]]:
-        """Yield the shared parts of each attempt on a backend server."""
-        yield from self._parts.get(incarnation, {}).values()
+    def sections_of(self, incarnation: Incarnation) -> Iterator[tuple[str, ...]]:
+        """Yield the shared sections of each attempt on a backend server."""
+        yield from self._sections.get(incarnation, {}).values()
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -154,13 +154,13 @@
             resume_after=run.last_event_id or run.request.resume_after,
             helpers=self._helpers,
         )
-        # Checked last: the part may have been quarantined during a wait.
-        part = self._state.part_quarantine.acquire_send(
-            run.shared_parts, self._state.clock.monotonic()
+        # Checked last: the section may have been quarantined during a wait.
+        section = self._state.section_quarantine.acquire_send(
+            run.shared_sections, self._state.clock.monotonic()
         )
-        if part is not None:
+        if section is not None:
             self._pool.release(connection)
-            return Withheld(part)
+            return Withheld(section)
         complete = False
         self._sent_s = self._state.clock.monotonic()
         try:
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -44,7 +44,7 @@
     :param held_off: backend servers that asked to be sent nothing for a time.
     :param leaving: backend servers that announced in a response that they leave.
     :param rate_limited: backend servers that limit the requests per second.
-    :param quarantined_parts: prompt parts for which requests are refused.
+    :param quarantined_sections: prompt sections for which requests are refused.
     """
 
     _registry: prometheus_client.CollectorRegistry = attrs.field(
@@ -59,7 +59,7 @@
     held_off: prometheus_client.Gauge = attrs.field(init=False)
     leaving: prometheus_client.Gauge = attrs.field(init=False)
     rate_limited: prometheus_client.Gauge = attrs.field(init=False)
-    quarantined_parts: prometheus_client.Gauge = attrs.field(init=False)
+    quarantined_sections: prometheus_client.Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         registry = self._registry
@@ -96,9 +96,9 @@
             "Backend servers that limit the requests per second",
             registry=registry,
         )
-        self.quarantined_parts = prometheus_client.Gauge(
-            "tanagerkeel_relay_quarantined_parts",
-            "Prompt parts for which requests are refused",
+        self.quarantined_sections = prometheus_client.Gauge(
+            "tanagerkeel_relay_quarantined_sections",
+            "Prompt sections for which requests are refused",
             registry=registry,
         )
 
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -91,8 +91,8 @@
                 for record in backends
             )
         )
-        self._metrics.quarantined_parts.set_function(
-            lambda: self.state.part_quarantine.quarantined_count(
+        self._metrics.quarantined_sections.set_function(
+            lambda: self.state.section_quarantine.quarantined_count(
                 self._clock.monotonic()
             )
         )
--- a/src/tanagerkeel/relay_entry/_outcome_recorder.py
+++ b/src/tanagerkeel/relay_entry/_outcome_recorder.py
@@ -32,8 +32,8 @@
 # How long a request that was not answered waits to learn whether its backend server has
 # crashed, in seconds; a refused connection takes milliseconds.
 CRASH_CHECK_S = 0.1
-# Limit of the prompt parts of a request in a log line.
-MAX_LOGGED_PARTS = 8
+# Limit of the prompt sections of a request in a log line.
+MAX_LOGGED_SECTIONS = 8
 
 
 @attrs.define
@@ -113,7 +113,7 @@
             reason=reason,
             events=run.events,
             sends=run.sends,
-            parts=list(run.shared_parts[:MAX_LOGGED_PARTS]),
+            sections=list(run.shared_sections[:MAX_LOGGED_SECTIONS]),
         )
 
     def _blamed_server(
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -110,12 +110,12 @@
 @attrs.frozen
 class Withheld:
     """
-    The request was not sent, as a part of its prompt is quarantined.
+    The request was not sent, as a section of its prompt is quarantined.
 
-    :param part: id of the part.
+    :param section: id of the section.
     """
 
-    part: str
+    section: str
 
 
 AttemptOutcome = (
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -27,7 +27,7 @@
     LONG_PROMPT_TOKENS,
     SMALL_FLEET_NODES,
     Assignment,
-    PartReport,
+    SectionReport,
     SendReport,
     StartReport,
 )
@@ -78,9 +78,10 @@
     retries: dict[str, int] = attrs.field(factory=dict)
     # Backend servers at whose address the sender found no listener or another server.
     gone: tuple[str, ...] = ()
-    # Prompt parts of requests whose answers began, and parts that may crash engines.
-    started_parts: tuple[StartReport, ...] = ()
-    part_reports: tuple[PartReport, ...] = ()
+    # Prompt sections of requests whose answers began, and sections that may crash
+    # engines.
+    started_sections: tuple[StartReport, ...] = ()
+    section_reports: tuple[SectionReport, ...] = ()
     # The sender's newest sends to backend servers that limit their rate.
     limited_sends: tuple[SendReport, ...] = ()
 
@@ -186,7 +187,7 @@
             REPEAT_INTERVAL_S * self._random.random(), self._send_to_all
         )
         self._state.quarantine.set_listener(self.notify_all_peers)
-        self._state.part_quarantine.set_listener(self.notify_all_peers)
+        self._state.section_quarantine.set_listener(self.notify_all_peers)
 
     def stop(self) -> None:
         """Send a last update, which reports that nothing runs, and close the socket."""
@@ -255,22 +256,22 @@
         for entry in update.suspects:
             self._state.quarantine.merge(entry, now)
         self._state.rate_limits.merge(update.limited_sends, now)
-        self._merge_part_evidence(frame, update, now)
+        self._merge_section_evidence(frame, update, now)
         for backend_id in update.gone:
             self._state.record_gone_report(frame.sender, backend_id)
         self._state.notify_changed()
 
-    def _merge_part_evidence(
+    def _merge_section_evidence(
         self, frame: Frame, update: _PeerUpdate, now: float
     ) -> None:
-        parts = self._state.part_quarantine
-        parts.merge_starts(update.started_parts, now)
-        if update.part_reports:
-            parts.merge_reports(update.part_reports, self._nodes(now), now)
+        sections = self._state.section_quarantine
+        sections.merge_starts(update.started_sections, now)
+        if update.section_reports:
+            sections.merge_reports(update.section_reports, self._nodes(now), now)
         if self._sessions.get(frame.sender) != frame.session:
             self._sessions[frame.sender] = frame.session
             # A node that has just started knows no evidence yet.
-            if parts.repeat_soon(self._nodes(now), now):
+            if sections.repeat_soon(self._nodes(now), now):
                 self.notify_all_peers()
 
     def error_received(self, error: OSError) -> None:
@@ -326,8 +327,8 @@
             suspects,
             self._state.used_retry_extra(),
             self._state.backends.gone_backends(now)[:MAX_GONE],
-            self._state.part_quarantine.take_starts(now),
-            self._state.part_quarantine.take_reports(self._nodes(now), now),
+            self._state.section_quarantine.take_starts(now),
+            self._state.section_quarantine.take_reports(self._nodes(now), now),
             self._state.rate_limits.reports(now),
         )
         data = self._sign(NEWS_KIND, codec.pack_compact(update), keys)
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -66,11 +66,13 @@
             if self._state.backends.service_unreachable(service, now):
                 reason = f"no backend server of {service} is reachable from this node"
                 return Refusal(ResultCode.NO_BACKEND, reason, OTHER_NODE_RETRY_S)
-            part = self._state.part_quarantine.quarantined_part(run.shared_parts, now)
-            if part is not None:
-                self._state.part_quarantine.record_refusal(part, now)
+            section = self._state.section_quarantine.quarantined_section(
+                run.shared_sections, now
+            )
+            if section is not None:
+                self._state.section_quarantine.record_refusal(section, now)
                 return Refusal(
-                    ResultCode.HELD_BACK, f"prompt part {part} is quarantined"
+                    ResultCode.HELD_BACK, f"prompt section {section} is quarantined"
                 )
             candidates, placement = self._choose(run, now)
             if placement is not None and not self._should_wait(run, placement, now):
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -123,10 +123,10 @@
         return self.admitted.route.repeatable and self._last_event_has_id
 
     @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Ids of the parts of its prompt that other requests may share."""
+    def shared_sections(self) -> tuple[str, ...]:
+        """Ids of the sections of its prompt that other requests may share."""
         demand = self.request.demand
-        return demand.shared_parts if demand is not None else ()
+        return demand.shared_sections if demand is not None else ()
 
     @property
     def sends_left(self) -> int:
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -192,12 +192,14 @@
                 unanswered = not run.events
             case _:
                 unanswered = False
-        if not unanswered or not run.shared_parts:
+        if not unanswered or not run.shared_sections:
             return False
         if not await self._sender.has_crashed(placement.candidate.server):
             return False
         now = self._state.clock.monotonic()
-        return not self._state.part_quarantine.may_send_again(run.shared_parts, now)
+        return not self._state.section_quarantine.may_send_again(
+            run.shared_sections, now
+        )
 
     def _acquire_retry(self, run: RelayRun, outcome: AttemptOutcome) -> bool:
         """Return whether the request is sent again; count a retry if so."""
@@ -215,8 +217,8 @@
         match outcome:
             case Withheld():
                 now = self._state.clock.monotonic()
-                self._state.part_quarantine.record_refusal(outcome.part, now)
-                reason = f"prompt part {outcome.part} is quarantined"
+                self._state.section_quarantine.record_refusal(outcome.section, now)
+                reason = f"prompt section {outcome.section} is quarantined"
                 await self._give_up(run, ResultCode.HELD_BACK, reason)
             case NotRunReply():
                 code = ResultCode.BACKEND_REFUSED
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -271,7 +271,7 @@
             server.backend_id, send_id, run.fingerprint, str(server.started_ms)
         )
         if not run.events:
-            self._state.unstarted.add(server.incarnation, send_id, run.shared_parts)
+            self._state.unstarted.add(server.incarnation, send_id, run.shared_sections)
 
     def _record_ended(self, server: BackendServer, send_id: str) -> None:
         self._state.quarantine.record_end(server.backend_id, send_id)
@@ -312,7 +312,7 @@
     ) -> None:
         now = self._state.clock.monotonic()
         self._state.unstarted.discard(placement.candidate.server.incarnation, send_id)
-        self._state.part_quarantine.record_start(run.shared_parts, now)
+        self._state.section_quarantine.record_start(run.shared_sections, now)
         took_ms = 1_000 * (now - started_s)
         estimate = placement.estimate
         for index, assignment in enumerate(assignments):
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -15,10 +15,10 @@
     BackendTable,
     CallerLimits,
     ColdStartLimiter,
-    PartQuarantine,
     RateLimitTable,
     RelayConfiguration,
     ReplyHead,
+    SectionQuarantine,
     SendFailure,
     SharedRetryBudget,
     UnstartedAttempts,
@@ -67,7 +67,7 @@
     :param quarantine: requests that are suspected of crashing backend servers.
     :param unstarted: attempts of this node whose answers have not begun.
     :param rate_limits: limits on requests per second that backend servers name.
-    :param part_quarantine: prompt parts that crash backend servers.
+    :param section_quarantine: prompt sections that crash backend servers.
     :param stopping: whether the node has begun to stop.
     :param on_caller_limits: called with the limits on callers that come into force.
     :param on_domain_cut_off: called with a failure domain that is found to be cut off.
@@ -91,7 +91,7 @@
     on_long_prefill: Callable[[Container[str]], None] | None = None
     peers: PeerTable = attrs.field()
     cold_limiter: ColdStartLimiter = attrs.field()
-    part_quarantine: PartQuarantine = attrs.field()
+    section_quarantine: SectionQuarantine = attrs.field()
     rate_limits: RateLimitTable = attrs.field()
     _retry_budgets: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
@@ -114,9 +114,9 @@
     def _default_cold_limiter(self) -> ColdStartLimiter:
         return ColdStartLimiter(self.settings.node_id)
 
-    @part_quarantine.default
-    def _default_part_quarantine(self) -> PartQuarantine:
-        return PartQuarantine(self.settings.node_id)
+    @section_quarantine.default
+    def _default_section_quarantine(self) -> SectionQuarantine:
+        return SectionQuarantine(self.settings.node_id)
 
     @rate_limits.default
     def _default_rate_limits(self) -> RateLimitTable:
@@ -439,10 +439,12 @@
         if not was_expected_to_run:
             return
         crash = f"{server.backend_id} {server.started_ms}"
-        attempts = self.unstarted.parts_of(server.incarnation)
-        for part in self.part_quarantine.record_crash(attempts, crash, now):
-            log(LogEvent.PART_QUARANTINED, part=part, backend=server.backend_id)
-        # Requests that wait may have a part that is quarantined now.
+        attempts = self.unstarted.sections_of(server.incarnation)
+        for section in self.section_quarantine.record_crash(attempts, crash, now):
+            log(
+                LogEvent.SECTION_QUARANTINED, section=section, backend=server.backend_id
+            )
+        # Requests that wait may have a section that is quarantined now.
         self.notify_changed()
 
     def record_gone_report(self, sender: str, backend_id: str) -> None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -41,11 +41,11 @@
 )
 from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
-from tests.platform.soak_parts import (
-    CRASHING_PART,
-    PartChecker,
-    parts_header,
-    shared_parts,
+from tests.platform.soak_sections import (
+    CRASHING_SECTION,
+    SectionChecker,
+    sections_header,
+    shared_sections,
 )
 from tests.runner import ROOT
 
@@ -171,7 +171,7 @@
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
-    parts: PartChecker = attrs.field(factory=PartChecker)
+    parts: SectionChecker = attrs.field(factory=SectionChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -238,7 +238,7 @@
         if self.limits.record_arrival(node, engine.engine_id):
             self.violations.append(f"LIMIT {request_id} sent to {engine.engine_id}")
 
-    def check_crashing_part(self, request_id: str) -> None:
+    def check_crashing_section(self, request_id: str) -> None:
         """Check that few requests with a part arrive after it has crashed engines."""
         node = self.node_by_request.get(request_id, "")
         if self.parts.record_arrival(node):
@@ -323,8 +323,8 @@
             checker.record_hold_off(request.request_id, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
             return
-        if CRASHING_PART in shared_parts(request):
-            checker.check_crashing_part(request.request_id)
+        if CRASHING_SECTION in shared_sections(request):
+            checker.check_crashing_section(request.request_id)
             await asyncio.sleep(EVENT_INTERVAL_S)
             if crash():
                 checker.parts.record_crash()
@@ -828,7 +828,7 @@
             self._chats += 1
             headers = (
                 "Tanagerkeel-Token-Count: 1000,430",
-                parts_header(self._chats, crashing),
+                sections_header(self._chats, crashing),
             )
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
--- a/tests/platform/soak_parts.py
+++ b/tests/platform/soak_sections.py
@@ -1,4 +1,4 @@
-"""The soak test's requests with a part of their prompts that crashes engines."""
+"""The soak test's requests with a section of their prompts that crashes engines."""
 
 import time
 
@@ -6,37 +6,37 @@
 
 from tests.platform.fixtures import ReceivedRequest
 
-__all__ = ["CRASHING_PART", "PartChecker", "parts_header", "shared_parts"]
+__all__ = ["CRASHING_SECTION", "SectionChecker", "sections_header", "shared_sections"]
 
-# Part of a prompt that crashes each engine which runs a request with it.
-CRASHING_PART = "dead"
-SOUND_PARTS = ("aa", "bb", "cc")
-# Users' bound: how many requests with a part may reach engines later than this time, in
-# seconds, after the part has crashed this many engines.
+# Section of a prompt that crashes each engine which runs a request with it.
+CRASHING_SECTION = "dead"
+SOUND_SECTIONS = ("aa", "bb", "cc")
+# Users' bound: how many requests with a section may reach engines later than this time,
+# in seconds, after the section has crashed this many engines.
 STABLE_S = 3.0
 LATE_CRASHES = 5
 MAX_LATE_REQUESTS = 3
 
 
-def parts_header(number: int, crashing: bool) -> str:
-    """Return a header with the parts of a prompt, the last of them its own."""
-    parts = [SOUND_PARTS[number % len(SOUND_PARTS)]]
+def sections_header(number: int, crashing: bool) -> str:
+    """Return a header with the sections of a prompt, the last of them its own."""
+    sections = [SOUND_SECTIONS[number % len(SOUND_SECTIONS)]]
     if crashing:
-        parts.insert(number % 2, CRASHING_PART)
-    entries = ",".join(f"{part}:40" for part in (*parts, f"{number:08x}"))
+        sections.insert(number % 2, CRASHING_SECTION)
+    entries = ",".join(f"{section}:40" for section in (*sections, f"{number:08x}"))
     return f"Tanagerkeel-Prompt-Prefix: {entries}"
 
 
-def shared_parts(request: ReceivedRequest) -> tuple[str, ...]:
-    """Return the parts of a request that it may share with others."""
+def shared_sections(request: ReceivedRequest) -> tuple[str, ...]:
+    """Return the sections of a request that it may share with others."""
     header = request.headers.get("tanagerkeel-prompt-prefix", "")
     return tuple(entry.partition(":")[0] for entry in header.split(",")[:-1])
 
 
 @attrs.define
-class PartChecker:
+class SectionChecker:
     """
-    Counts the requests with the crashing part that reach engines.
+    Counts the requests with the crashing section that reach engines.
 
     :param crashes_s: monotonic time of each crash, in seconds.
     :param late_requests: requests that nodes in touch sent after the bound.
--- a/tests/platform/test_prompt_parts.py
+++ b/tests/platform/test_prompt_sections.py
@@ -1,4 +1,4 @@
-"""Requests whose prompts share a part that crashes each engine that answers them."""
+"""Requests whose prompts share a section that crashes each engine that answers them."""
 
 import asyncio
 import itertools
@@ -19,12 +19,12 @@
 )
 from tests.support import collect
 
-# The part that crashes engines, and parts of sound requests.
-CRASHING_PART = "dead"
-SOUND_PARTS = ("aa", "bb", "cc")
+# The section that crashes engines, and sections of sound requests.
+CRASHING_SECTION = "dead"
+SOUND_SECTIONS = ("aa", "bb", "cc")
 EVENT_COUNT = 3
-# Users' bounds: requests with a part that may still reach engines after it has crashed
-# the fifth one.
+# Users' bounds: requests with a section that may still reach engines after it has
+# crashed the fifth one.
 LATE_CRASHES = 5
 MAX_LATE_REQUESTS = 3
 
@@ -32,15 +32,15 @@
 @attrs.define
 class CrashLog:
     """
-    Scripts engines that crash before the first event of requests with some parts.
+    Scripts engines that crash before the first event of requests with some sections.
 
-    :param crashing_parts: the parts.
-    :param arrivals: for each request with such a part that reached an engine, how many
-        engines had crashed before.
+    :param crashing_sections: the sections.
+    :param arrivals: for each request with such a section that reached an engine, how
+        many engines had crashed before.
     :param crashes: number of engines that crashed.
     """
 
-    crashing_parts: set[str] = attrs.field(factory=lambda: {CRASHING_PART})
+    crashing_sections: set[str] = attrs.field(factory=lambda: {CRASHING_SECTION})
     arrivals: list[int] = attrs.field(factory=list)
     crashes: int = 0
 
@@ -48,8 +48,8 @@
         self, engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         header = request.headers.get("tanagerkeel-prompt-prefix", "")
-        parts = {entry.partition(":")[0] for entry in header.split(",")}
-        if parts & self.crashing_parts:
+        sections = {entry.partition(":")[0] for entry in header.split(",")}
+        if sections & self.crashing_sections:
             self.arrivals.append(self.crashes)
             await asyncio.sleep(0.01)
             self.crashes += not engine.crashed
@@ -64,17 +64,17 @@
         await writer.drain()
 
     def late_arrivals(self) -> int:
-        """Return how many requests with the part came after the fifth crash."""
+        """Return how many requests with the section came after the fifth crash."""
         return sum(crashes >= LATE_CRASHES for crashes in self.arrivals)
 
 
 request_numbers = itertools.count(1)
 
 
-async def send(relay: Relay, *parts: str, node: int = 0) -> Response:
-    """Send a request that is unlike all others but for these parts of its prompt."""
+async def send(relay: Relay, *sections: str, node: int = 0) -> Response:
+    """Send a request that is unlike all others but for these sections of its prompt."""
     number = next(request_numbers)
-    entries = ",".join(f"{part}:40" for part in (*parts, f"{number:08x}"))
+    entries = ",".join(f"{section}:40" for section in (*sections, f"{number:08x}"))
     return await relay.call(
         "/chat/x",
         node=node,
@@ -90,21 +90,25 @@
 
 
 async def send_sound(relay: Relay) -> list[Response]:
-    """Send a sound request with each part to each node; return the responses."""
+    """Send a sound request with each section to each node; return the responses."""
     numbers = range(len(relay.nodes))
-    calls = (send(relay, part, node=n) for part in SOUND_PARTS for n in numbers)
+    calls = (
+        send(relay, section, node=n) for section in SOUND_SECTIONS for n in numbers
+    )
     return await asyncio.gather(*calls)
 
 
-async def test_requests_that_share_a_part_do_not_crash_engine_after_engine():
+async def test_requests_that_share_a_section_do_not_crash_engine_after_engine():
     log = CrashLog()
     async with running_relay(
         *[log.script] * 30, service="models", node_count=3
     ) as relay:
         await send_sound(relay)
         for number in range(12):
-            parts = [SOUND_PARTS[number % 3], CRASHING_PART][:: 1 - 2 * (number % 2)]
-            response = await send(relay, *parts, node=number % 3)
+            sections = [SOUND_SECTIONS[number % 3], CRASHING_SECTION][
+                :: 1 - 2 * (number % 2)
+            ]
+            response = await send(relay, *sections, node=number % 3)
             assert response.status in (502, 503)
             for reply in await send_sound(relay):
                 assert reply.status == 200 and reply.complete
@@ -113,11 +117,11 @@
         assert log.crashes <= LATE_CRASHES, log.arrivals
 
 
-async def test_a_request_with_a_part_that_never_started_is_sent_once():
+async def test_a_request_with_a_section_that_never_started_is_sent_once():
     log = CrashLog()
     async with running_relay(*[log.script] * 4, service="models") as relay:
         await send_sound(relay)
-        response = await send(relay, "aa", CRASHING_PART)
+        response = await send(relay, "aa", CRASHING_SECTION)
         # The request may have run, so it must not be reported as not run.
         assert response.status == 502
         assert len(log.arrivals) == 1
@@ -139,38 +143,38 @@
 
     async with running_relay(script, script, service="models") as relay:
         now = relay.node.state.clock.monotonic()
-        relay.node.state.part_quarantine.record_start(("aa",), now)
+        relay.node.state.section_quarantine.record_start(("aa",), now)
         response = await send(relay, "aa")
         assert response.status == 200 and response.complete
         assert relay.received_count() == 2
 
 
-async def test_a_refusal_for_a_part_is_immediate_and_says_that_nothing_ran():
+async def test_a_refusal_for_a_section_is_immediate_and_says_that_nothing_ran():
     log = CrashLog()
     async with running_relay(log.script, service="models") as relay:
-        quarantine(relay, CRASHING_PART)
-        response = await send(relay, "aa", CRASHING_PART)
+        quarantine(relay, CRASHING_SECTION)
+        response = await send(relay, "aa", CRASHING_SECTION)
         assert response.status == 503 and "retry-after" not in response.headers
         assert b'"TK-3007"' in response.body and b'"ran":"no"' in response.body
         assert not relay.received_count()
         assert (await send(relay, "aa")).status == 200
 
 
-async def test_a_request_that_waits_is_refused_when_its_part_is_quarantined():
+async def test_a_request_that_waits_is_refused_when_its_section_is_quarantined():
     log = CrashLog()
     async with running_relay(log.script, service="models") as relay:
         state = relay.node.state
         server = state.backends.get("i-0").server
         state.backends.hold_off(server, 1.0, state.clock.monotonic())
-        waiting = asyncio.create_task(send(relay, "aa", CRASHING_PART))
+        waiting = asyncio.create_task(send(relay, "aa", CRASHING_SECTION))
         await asyncio.sleep(0.1)
         assert not waiting.done()
-        quarantine(relay, CRASHING_PART)
+        quarantine(relay, CRASHING_SECTION)
         assert (await waiting).status == 503
         assert not relay.received_count()
 
 
-async def test_an_engine_that_is_replaced_blames_no_part():
+async def test_an_engine_that_is_replaced_blames_no_section():
     async def silent(
         engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
@@ -199,37 +203,42 @@
             engine.crash()
             await waiting
             await asyncio.sleep(0.1)
-            assert not state.part_quarantine._suspects, field
+            assert not state.section_quarantine._suspects, field
 
 
-def quarantine(relay: Relay, part: str) -> None:
-    """Give a node the evidence for which it quarantines a part."""
+def quarantine(relay: Relay, section: str) -> None:
+    """Give a node the evidence for which it quarantines a section."""
     state = relay.node.state
     now = state.clock.monotonic()
     for number, crashed_s in enumerate((now - 2.0, now - 1.0)):
-        state.part_quarantine.record_crash([(part,)], f"engine {number}", crashed_s)
-    state.part_quarantine.record_start(("other",), now)
+        state.section_quarantine.record_crash(
+            [(section,)], f"engine {number}", crashed_s
+        )
+    state.section_quarantine.record_start(("other",), now)
     state.notify_changed()
 
 
-def shared_parts(value: bytes | None) -> tuple[str, ...]:
-    """Return the shared parts that the codec reads from a header's value."""
+def shared_sections(value: bytes | None) -> tuple[str, ...]:
+    """Return the shared sections that the codec reads from a header's value."""
     headers = [(b"tanagerkeel-token-count", b"1000,430")]
     if value is not None:
         headers.append((b"tanagerkeel-prompt-prefix", value))
     scope = {"headers": headers, "method": "POST", "raw_path": b"/chat/x"}
-    return PlatformCallerCodec().decode(scope, 0.0).demand.shared_parts
-
-
-def test_every_part_but_the_last_is_read_from_any_list():
-    assert shared_parts(None) == ()
-    assert shared_parts(b"") == ()
-    assert shared_parts(b"5c1e07a2:800") == ()
-    assert shared_parts(b"5c1e07a2:800,91BD3F06:410,e4:250") == ("5c1e07a2", "91bd3f06")
-    assert shared_parts(b"aa:1, bb:2 ,aa:3,cc:4") == ("aa", "bb")
-    assert shared_parts(b"zz:1,:2,,aa:x,-1:3,bb,cc:4") == ("aa", "bb")
-    assert shared_parts(b"\xff\x00:1,aa:1,bb:1") == ("aa",)
-    assert len(shared_parts(b",".join(b"%x:1" % n for n in range(3_000)))) == 1_024
+    return PlatformCallerCodec().decode(scope, 0.0).demand.shared_sections
+
+
+def test_every_section_but_the_last_is_read_from_any_list():
+    assert shared_sections(None) == ()
+    assert shared_sections(b"") == ()
+    assert shared_sections(b"5c1e07a2:800") == ()
+    assert shared_sections(b"5c1e07a2:800,91BD3F06:410,e4:250") == (
+        "5c1e07a2",
+        "91bd3f06",
+    )
+    assert shared_sections(b"aa:1, bb:2 ,aa:3,cc:4") == ("aa", "bb")
+    assert shared_sections(b"zz:1,:2,,aa:x,-1:3,bb,cc:4") == ("aa", "bb")
+    assert shared_sections(b"\xff\x00:1,aa:1,bb:1") == ("aa",)
+    assert len(shared_sections(b",".join(b"%x:1" % n for n in range(3_000)))) == 1_024
 
 
 def load_tests(loader, tests, pattern):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -97,15 +97,15 @@
     )
 
 
-def test_requests_with_a_part_that_crashes_engines_are_detected():
-    program = str(MUTANTS / "ignores_part_quarantine.py")
+def test_requests_with_a_section_that_crashes_engines_are_detected():
+    program = str(MUTANTS / "ignores_section_quarantine.py")
     checker = _run(seconds=8.0, program=program, crashes_first=True)
     assert any(line.startswith("BUDGET") for line in checker.violations), (
         checker.violations[:3]
     )
 
 
-def test_a_part_that_crashes_engines_is_quarantined():
+def test_a_section_that_crashes_engines_is_quarantined():
     checker = _run(seconds=8.0, crashes_first=True)
     assert checker.parts.crashes_s and not checker.violations, checker.violations
 
--- a/tests/test_rate_limit_table.py
+++ b/tests/test_rate_limit_table.py
@@ -233,7 +233,7 @@
         table.record_named((f"i-{number}", 1), 1_000.0, now=1.0)
         table.record_send((f"i-{number}", 1), 1, 6, now=1.0)
     assert len(table) <= 1_024 and len(table.reports(1.0)) <= 32
-    table.merge([("i-2999", 1, 1, lane, -5) for lane in range(-9, 10**3)], 2.0)
+    table.merge([("i-2999", 1, 1, track, -5) for track in range(-9, 10**3)], 2.0)
     table.merge([(f"i-unknown{n}", 1, -1, 0, 0) for n in range(2_000)], 2.0)
     assert len(table) <= 1_024
 
--- a/tests/test_part_quarantine.py
+++ b/tests/test_section_quarantine.py
@@ -1,8 +1,9 @@
 """
-The quarantine of prompt parts, in simulated fleets and against a model.
+The quarantine of prompt sections, in simulated fleets and against a model.
 
 The simulated fleets have late and lossy updates. Engines end the moment that a request
-with a crashing part would begin its answer, together with requests that run beside it.
+with a crashing section would begin its answer, together with requests that run beside
+it.
 """
 
 import heapq
@@ -14,12 +15,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tanagerkeel.relay import PartQuarantine, PartReport
+from tanagerkeel.relay import SectionQuarantine, SectionReport
 from tests.support import collect
 
-# Users' bounds: how many requests with a part may reach engines later than this time,
-# in seconds, after the part has crashed the fifth engine; and from when on sound
-# requests are served again.
+# Users' bounds: how many requests with a section may reach engines later than this
+# time, in seconds, after the section has crashed the fifth engine; and from when on
+# sound requests are served again.
 STABLE_S = 3.0
 LATE_CRASHES = 5
 MAX_LATE_REQUESTS = 3
@@ -36,26 +37,27 @@
     A simulated fleet: requests, crashes of engines and updates between the nodes.
 
     :param node_count: number of nodes.
-    :param crashing_per_s: rate of requests with a crashing part, for each such part.
-    :param crashing_parts: parts that crash engines.
-    :param sound_parts: shared parts of sound requests, of which each has one.
+    :param crashing_per_s: rate of requests with a crashing section, for each such
+        section.
+    :param crashing_sections: sections that crash engines.
+    :param sound_sections: shared sections of sound requests, of which each has one.
     :param sound_per_s: rate of sound requests over all nodes.
-    :param common_parts: parts that every request begins with.
+    :param common_sections: sections that every request begins with.
     :param loss: share of the updates that are lost.
     :param beside: probability that a sound request runs beside a crashing one.
-    :param crashing_parts_until_s: time at which those parts become sound.
+    :param crashing_sections_until_s: time at which those sections become sound.
     """
 
     seed: int
     node_count: int = 6
     crashing_per_s: float = 4.0
-    crashing_parts: tuple[str, ...] = ("dead",)
-    sound_parts: tuple[str, ...] = tuple(f"a{n}" for n in range(30))
+    crashing_sections: tuple[str, ...] = ("dead",)
+    sound_sections: tuple[str, ...] = tuple(f"a{n}" for n in range(30))
     sound_per_s: float = 20.0
-    common_parts: tuple[str, ...] = ()
+    common_sections: tuple[str, ...] = ()
     loss: float = 0.05
     beside: float = 0.5
-    crashing_parts_until_s: float = float("inf")
+    crashing_sections_until_s: float = float("inf")
     now: float = 0.0
     crashes_s: dict[str, list[float]] = attrs.field(factory=dict)
     arrivals_s: dict[str, list[float]] = attrs.field(factory=dict)
@@ -63,7 +65,7 @@
     sound: list[tuple[float, bool]] = attrs.field(factory=list)
     refused_for: set[str] = attrs.field(factory=set)
     natural_crashes: int = 0
-    nodes: list[PartQuarantine] = attrs.field(init=False)
+    nodes: list[SectionQuarantine] = attrs.field(init=False)
     _rng: random.Random = attrs.field(init=False)
     _events: list = attrs.field(factory=list)
     _numbers: "itertools.count[int]" = attrs.field(factory=itertools.count)
@@ -73,7 +75,7 @@
         self.nodes = [self._make_node(n) for n in range(self.node_count)]
 
     def _make_node(self, number):
-        node = PartQuarantine(f"node-{number}")
+        node = SectionQuarantine(f"node-{number}")
         node.set_listener(lambda: self.at(0.002, self._send_update, number))
         return node
 
@@ -86,8 +88,8 @@
         heapq.heappush(self._events, (when_s, next(self._numbers), action, arguments))
 
     def run(self, seconds=RUN_S):
-        for part in self.crashing_parts:
-            self.at(self._rng.random(), self._send_crashing, part)
+        for section in self.crashing_sections:
+            self.at(self._rng.random(), self._send_crashing, section)
         self.at(0.0, self._send_sound)
         for number in range(self.node_count):
             self.at(2.0 * self._rng.random(), self._repeat_update, number)
@@ -99,45 +101,57 @@
     def _send_sound(self):
         self.at(self._rng.expovariate(self.sound_per_s), self._send_sound)
         node = self._rng.choice(self.nodes)
-        parts = (*self.common_parts, self._rng.choice(self.sound_parts))
-        sent = self._acquire_send(node, parts)
+        sections = (*self.common_sections, self._rng.choice(self.sound_sections))
+        sent = self._acquire_send(node, sections)
         self.sound.append((self.now, sent))
         if sent:
-            self.at(self._rng.uniform(*FIRST_EVENT_S), self._start, node, parts)
-
-    def _acquire_send(self, node, parts):
-        part = node.acquire_send(parts, self.now)
-        if part is not None:
-            node.record_refusal(part, self.now)
-            self.refused_for.add(part)
-        return part is None
-
-    def _start(self, node, parts):
-        node.record_start(parts, self.now)
-
-    def _send_crashing(self, part):
-        self.at(self._rng.expovariate(self.crashing_per_s), self._send_crashing, part)
+            self.at(self._rng.uniform(*FIRST_EVENT_S), self._start, node, sections)
+
+    def _acquire_send(self, node, sections):
+        section = node.acquire_send(sections, self.now)
+        if section is not None:
+            node.record_refusal(section, self.now)
+            self.refused_for.add(section)
+        return section is None
+
+    def _start(self, node, sections):
+        node.record_start(sections, self.now)
+
+    def _send_crashing(self, section):
+        self.at(
+            self._rng.expovariate(self.crashing_per_s), self._send_crashing, section
+        )
         node = self._rng.choice(self.nodes)
-        parts = [*self.common_parts, part, self._rng.choice(self.sound_parts)]
-        if not self.common_parts:
-            self._rng.shuffle(parts)
-        if self._acquire_send(node, parts):
-            self.arrivals_s.setdefault(part, []).append(self.now)
+        sections = [
+            *self.common_sections,
+            section,
+            self._rng.choice(self.sound_sections),
+        ]
+        if not self.common_sections:
+            self._rng.shuffle(sections)
+        if self._acquire_send(node, sections):
+            self.arrivals_s.setdefault(section, []).append(self.now)
             action = self._crash
-            if self.now >= self.crashing_parts_until_s:
+            if self.now >= self.crashing_sections_until_s:
                 action = self._start_crashing
-            self.at(self._rng.uniform(*FIRST_EVENT_S), action, node, tuple(parts), part)
-
-    def _start_crashing(self, node, parts, _):
-        self._start(node, parts)
-
-    def _crash(self, node, parts, part):
-        self.crashes_s.setdefault(part, []).append(self.now)
+            self.at(
+                self._rng.uniform(*FIRST_EVENT_S),
+                action,
+                node,
+                tuple(sections),
+                section,
+            )
+
+    def _start_crashing(self, node, sections, _):
+        self._start(node, sections)
+
+    def _crash(self, node, sections, section):
+        self.crashes_s.setdefault(section, []).append(self.now)
         crash = f"engine {next(self._numbers)}"
-        node.record_crash([parts], crash, self.now)
+        node.record_crash([sections], crash, self.now)
         if self._rng.random() < self.beside:
             other = self._rng.choice(self.nodes)
-            bystander = (*self.common_parts, self._rng.choice(self.sound_parts))
+            bystander = (*self.common_sections, self._rng.choice(self.sound_sections))
             other.record_crash([bystander], crash, self.now)
 
     def end_engines(self, count):
@@ -146,8 +160,11 @@
             self.natural_crashes += 1
             crash = f"engine {next(self._numbers)}"
             for node in self._rng.sample(self.nodes, min(2, self.node_count)):
-                parts = (*self.common_parts, self._rng.choice(self.sound_parts))
-                node.record_crash([parts], crash, self.now)
+                sections = (
+                    *self.common_sections,
+                    self._rng.choice(self.sound_sections),
+                )
+                node.record_crash([sections], crash, self.now)
 
     def restart(self, number):
         """Replace a node by one that knows nothing."""
@@ -175,12 +192,12 @@
         self.nodes[number].merge_starts(starts, self.now)
         self.nodes[number].merge_reports(reports, self.names, self.now)
 
-    def late_arrivals(self, part="dead"):
-        crashes_s = self.crashes_s.get(part, [])
+    def late_arrivals(self, section="dead"):
+        crashes_s = self.crashes_s.get(section, [])
         if len(crashes_s) < LATE_CRASHES:
             return 0
         since_s = crashes_s[LATE_CRASHES - 1] + STABLE_S
-        return sum(s > since_s for s in self.arrivals_s[part])
+        return sum(s > since_s for s in self.arrivals_s[section])
 
     def served_share(self, after_s=0.0):
         sent = [ok for s, ok in self.sound if s >= after_s]
@@ -188,45 +205,45 @@
 
 
 def check_bounds(fleet):
-    for part in fleet.crashing_parts:
-        arrivals = fleet.arrivals_s.get(part)
-        assert fleet.late_arrivals(part) <= MAX_LATE_REQUESTS, (fleet.seed, arrivals)
+    for section in fleet.crashing_sections:
+        arrivals = fleet.arrivals_s.get(section)
+        assert fleet.late_arrivals(section) <= MAX_LATE_REQUESTS, (fleet.seed, arrivals)
     last_s = max(s for times_s in fleet.crashes_s.values() for s in times_s[:5])
     share = fleet.served_share(last_s + SERVED_AGAIN_S)
     assert share >= MIN_SERVED_SHARE, (fleet.seed, share)
 
 
-def test_a_crashing_part_is_found_in_fleets_of_any_size():
+def test_a_crashing_section_is_found_in_fleets_of_any_size():
     for seed, nodes in itertools.product(range(10), (1, 6, 30)):
         check_bounds(Fleet(seed, nodes).run())
     check_bounds(Fleet(1, node_count=370, sound_per_s=200.0).run(15.0))
 
 
-def test_two_crashing_parts_at_once_are_both_found():
+def test_two_crashing_sections_at_once_are_both_found():
     for seed in range(10):
-        check_bounds(Fleet(seed, crashing_parts=("dead", "beef")).run())
+        check_bounds(Fleet(seed, crashing_sections=("dead", "beef")).run())
 
 
-def test_a_part_at_few_and_at_many_requests_a_second_is_found():
+def test_a_section_at_few_and_at_many_requests_a_second_is_found():
     for seed, rate in itertools.product(range(5), (0.3, 50.0)):
         check_bounds(Fleet(seed, crashing_per_s=rate).run())
 
 
-def test_a_part_is_found_although_many_updates_are_lost():
+def test_a_section_is_found_although_many_updates_are_lost():
     for seed in range(10):
         check_bounds(Fleet(seed, loss=0.4).run())
 
 
-def test_parts_that_all_requests_share_are_never_refused():
+def test_sections_that_all_requests_share_are_never_refused():
     for seed in range(10):
-        fleet = Fleet(seed, common_parts=("c1", "c2")).run()
+        fleet = Fleet(seed, common_sections=("c1", "c2")).run()
         check_bounds(fleet)
         for node in fleet.nodes:
-            assert node.quarantined_part(("c1", "c2"), fleet.now) is None
+            assert node.quarantined_section(("c1", "c2"), fleet.now) is None
 
 
 def end_engines_for_other_reasons(fleet):
-    """Run a fleet in which 42 engines end although no part crashes them."""
+    """Run a fleet in which 42 engines end although no section crashes them."""
     # One after the other as in a release, many at once as when a rack loses power, and
     # again and again as in a cold start.
     for number in range(10):
@@ -238,19 +255,19 @@
     assert fleet.natural_crashes == 42
 
 
-def test_engines_that_end_for_other_reasons_quarantine_no_popular_part():
+def test_engines_that_end_for_other_reasons_quarantine_no_popular_section():
     for seed in range(20):
-        fleet = Fleet(seed, crashing_parts=(), sound_parts=("a1", "a2", "a3"))
+        fleet = Fleet(seed, crashing_sections=(), sound_sections=("a1", "a2", "a3"))
         end_engines_for_other_reasons(fleet)
         assert all(sent for s, sent in fleet.sound if s > 5.0), seed
-        fleet = Fleet(seed, crashing_parts=(), common_parts=("c1", "c2"))
+        fleet = Fleet(seed, crashing_sections=(), common_sections=("c1", "c2"))
         end_engines_for_other_reasons(fleet)
         assert not fleet.refused_for & {"c1", "c2"}, seed
 
 
-def test_rare_parts_are_served_again_soon_after_engines_ended_for_other_reasons():
+def test_rare_sections_are_served_again_soon_after_engines_ended_for_other_reasons():
     for seed in range(20):
-        fleet = Fleet(seed, crashing_parts=())
+        fleet = Fleet(seed, crashing_sections=())
         end_engines_for_other_reasons(fleet)
         share = fleet.served_share(20.7 + SERVED_AGAIN_S)
         assert share >= MIN_SERVED_SHARE and fleet.served_share() > 0.9, (seed, share)
@@ -264,9 +281,9 @@
         check_bounds(fleet.run())
 
 
-def test_a_part_that_is_sound_again_is_served_after_a_trial():
+def test_a_section_that_is_sound_again_is_served_after_a_trial():
     for seed in range(5):
-        fleet = Fleet(seed, crashing_parts_until_s=3.0).run(300.0)
+        fleet = Fleet(seed, crashing_sections_until_s=3.0).run(300.0)
         sent_s = [s for s in fleet.arrivals_s["dead"] if s > 3.0]
         assert sent_s[0] < 120.0 and len(sent_s) > 100
 
@@ -278,7 +295,7 @@
 
 
 def test_a_crash_in_a_trial_counts_although_other_engines_ended_meanwhile():
-    node = PartQuarantine("node-1")
+    node = SectionQuarantine("node-1")
     node.record_start(("aa",), 0.5)
     for crash_s in (1.0, 2.0):
         node.record_crash([("dead",)], f"engine {crash_s}", crash_s)
@@ -291,26 +308,26 @@
     assert node.acquire_send(("dead",), 20.3) == "dead"
 
 
-def test_crashes_of_all_requests_alike_say_nothing_about_a_part():
-    node = PartQuarantine("node-1")
+def test_crashes_of_all_requests_alike_say_nothing_about_a_section():
+    node = SectionQuarantine("node-1")
     for number in range(10):
         node.record_crash([("aa", "bb")], f"engine {number}", float(number))
-    assert node.quarantined_part(("aa", "bb"), 10.0) is None
+    assert node.quarantined_section(("aa", "bb"), 10.0) is None
 
 
 def test_a_crash_that_several_nodes_report_counts_once():
-    nodes = [PartQuarantine(f"node-{n}") for n in range(3)]
+    nodes = [SectionQuarantine(f"node-{n}") for n in range(3)]
     names = ("node-0", "node-1", "node-2")
     for node in nodes:
         node.record_crash([("aa",)], "engine 1", 1.0)
         node.record_start(("bb",), 1.1)
     for sender, receiver in itertools.permutations(nodes, 2):
         receiver.merge_reports(sender.take_reports(names, 1.2), names, 1.2)
-    assert all(node.quarantined_part(("aa",), 1.3) is None for node in nodes)
+    assert all(node.quarantined_section(("aa",), 1.3) is None for node in nodes)
 
 
 def test_tables_and_updates_are_bounded():
-    node = PartQuarantine("node-1")
+    node = SectionQuarantine("node-1")
     node.record_crash([("dead",)], "engine 1", 1.0)
     node.record_start(("aa",), 1.1)
     node.record_crash([("dead",)], "engine 2", 2.0)
@@ -318,7 +335,7 @@
         hostile = tuple(f"{number}-{n}" for n in range(1_000))
         node.record_crash([hostile], f"engine {number + 10}", 3.0 + number / 100)
         node.record_start(hostile, 4.0 + number)
-    assert node.quarantined_part(("dead",), 3.5) == "dead"
+    assert node.quarantined_section(("dead",), 3.5) == "dead"
     assert len(node._suspects) <= 512 and len(node._starts_s) <= 8_192
     assert len(node.take_reports(("node-1",), 30.0)) <= 8
     assert len(node.take_starts(30.0)) <= 16
@@ -327,11 +344,11 @@
 
 
 def test_reports_with_impossible_values_do_no_harm():
-    node = PartQuarantine("node-1")
+    node = SectionQuarantine("node-1")
     reports = [
-        PartReport(1, ((1, -5), (2, 10**12)), -7, 10**12, -1, -9, True),
-        PartReport(1, tuple((n, 0) for n in range(1_000))),
-        *(PartReport(n, ((1, 0),)) for n in range(1_000)),
+        SectionReport(1, ((1, -5), (2, 10**12)), -7, 10**12, -1, -9, True),
+        SectionReport(1, tuple((n, 0) for n in range(1_000))),
+        *(SectionReport(n, ((1, 0),)) for n in range(1_000)),
     ]
     node.merge_reports(reports, ("node-1",), 1.0)
     node.merge_starts([(n, -1) for n in range(1_000)], 1.0)
@@ -344,40 +361,42 @@
 
 class QuarantineMachine(RuleBasedStateMachine):
     """
-    Three nodes with lossy updates; the parts ``p`` and ``q`` crash engines.
+    Three nodes with lossy updates; the sections ``p`` and ``q`` crash engines.
 
-    The model holds the sentences of the rules: few requests with a crashing part are
-    sent after its fifth crash, and a part whose answer began since its last crash is
+    The model holds the sentences of the rules: few requests with a crashing section are
+    sent after its fifth crash, and a section whose answer began since its last crash is
     not refused.
     """
 
     def __init__(self):
         super().__init__()
         self.names = ("node-0", "node-1", "node-2")
-        self.nodes = [PartQuarantine(name) for name in self.names]
+        self.nodes = [SectionQuarantine(name) for name in self.names]
         self.now = 1.0
         self.number = 0
         self.lost = dict.fromkeys(itertools.permutations(range(3), 2), False)
         self.crashes_s = {"p": [], "q": []}
         self.late = {"p": 0, "q": 0}
 
-    @rule(number=node_numbers, parts=st.lists(ids, min_size=1, max_size=3, unique=True))
-    def request(self, number, parts):
+    @rule(
+        number=node_numbers, sections=st.lists(ids, min_size=1, max_size=3, unique=True)
+    )
+    def request(self, number, sections):
         node = self.nodes[number]
-        if node.acquire_send(parts, self.now) is not None:
+        if node.acquire_send(sections, self.now) is not None:
             return
-        crashing = [part for part in parts if part in self.crashes_s]
+        crashing = [section for section in sections if section in self.crashes_s]
         if not crashing:
-            node.record_start(parts, self.now)
-            assert node.quarantined_part(parts, self.now) is None
+            node.record_start(sections, self.now)
+            assert node.quarantined_section(sections, self.now) is None
             return
         self.number += 1
-        for part in crashing:
-            times_s = self.crashes_s[part]
+        for section in crashing:
+            times_s = self.crashes_s[section]
             if len(times_s) >= 5 and self.now > times_s[4] + STABLE_S:
-                self.late[part] += 1
+                self.late[section] += 1
             times_s.append(self.now)
-        node.record_crash([tuple(parts)], f"engine {self.number}", self.now)
+        node.record_crash([tuple(sections)], f"engine {self.number}", self.now)
 
     @rule(
         seconds=st.floats(0.0, 0.9),
