Let nothing else disturb the soak run that must find a node ignoring leaving

Cause: the engine announces for 4 s, and only requests later than 2 s after a client got the announcement count. The faults that the run injected at the same time could keep all nodes from that engine during those 2 s (a link held up), or restart the nodes, which excuses them.

Now the engine has the fault alone, as the runs for limits and crashes do, and likewise the engine that asks for hold-offs.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -494,13 +494,13 @@
     :param store: the store that all nodes use.
     :param base_fault_rate: share of engines' responses that have each kind of fault
         while no such fault is injected.
-    :param announces_first: whether the first fault is an engine that announces that it
-        leaves.
-    :param holds_off_first: whether one engine asks to be held off all the time.
-    :param crashes_first: whether requests with a crashing part come all the time, and
-        nothing else disturbs the nodes.
-    :param limits_first: whether one engine names a limit all the time, and nothing else
-        disturbs the nodes.
+    :param announces_first: whether an engine announces at the start that it leaves, and
+        nothing else disturbs the nodes, so that each of them gets to know.
+    :param holds_off_first: likewise, whether one engine asks to be held off all the
+        time.
+    :param crashes_first: likewise, whether requests with a crashing part come all the
+        time.
+    :param limits_first: likewise, whether one engine names a limit all the time.
     :param fault_rates: the share in force for each kind of fault.
     :param links: the proxies before the store (first) and before each engine.
     :param version: version of the next configuration.
@@ -644,6 +644,7 @@
             self.engines[0].retry_after = HOLD_OFF_VALUE
         if self.limits_first:
             self.engines[0].rate_limit = LIMIT_VALUE
+        if self.announces_first or self.holds_off_first or self.limits_first:
             await asyncio.sleep(self.seconds)
         if self.crashes_first:
             await self._send_crashing_requests(self.seconds)
