Keep a hold-off when a restart with the same id is learnt during it

What callers saw: nothing; an engine that had answered 503 with Retry-After got more than two requests of a node during that time (BUDGET).

Cause: a response names the id of its engine, not its start time. When the entry arrived, the new incarnation started clean, and everything that waited was sent before its next 503 could be read. Class of fault: a fact about the engine is kept for an incarnation that the response doesn't prove.

Now the hold-off goes over to the new incarnation if it was asked for after that one started; one that was asked for before stays with the old one. The start is wall-clock time of the engine: a wrong clock can keep a hold-off of the one before, for as long as it asked, or forget one, as before. A mark of leaving doesn't go over, as a wrong clock could then keep a sound engine out for good; docs/design/leaving.md says so.

Tests: test_a_restart_that_is_learnt_late_does_not_end_the_hold_off failed before; the model of the table learns restarts. test_a_new_incarnation_is_not_held_off now has an incarnation that starts after the hold-off, as its name says; its start time lay in 2023, before the response. The soak gives engines real start times for the same reason.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -320,6 +320,18 @@
         """
         return self._hold_offs.extend(server.incarnation, now + for_s, now)
 
+    def carry_over_hold_off(
+        self, known: BackendServer, new: BackendServer, started_s: float
+    ) -> None:
+        """
+        Keep a hold-off that a new incarnation asked for before it was known.
+
+        :param known: the incarnation that was known until now.
+        :param new: the one that replaced it, with the same id.
+        :param started_s: monotonic time at which the new one started, in seconds.
+        """
+        self._hold_offs.carry_over(known.incarnation, new.incarnation, started_s)
+
     def held_off_count(self, now: float) -> int:
         """Return how many backend servers with an entry are held off."""
         return sum(self.next_send_s(record.server, now) > now for record in self)
--- a/src/tanagerkeel/relay/_hold_off.py
+++ b/src/tanagerkeel/relay/_hold_off.py
@@ -47,6 +47,8 @@
     """
 
     _ends_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    # When each hold-off was last asked for.
+    _asked_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     _next_sends_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def extend(self, incarnation: tuple[str, int], end_s: float, now: float) -> bool:
@@ -54,8 +56,28 @@
         self._remove_ended(now)
         known_s = self._ends_s.get(incarnation, 0.0)
         self._ends_s[incarnation] = max(known_s, end_s)
+        self._asked_s[incarnation] = now
         return known_s <= now
 
+    def carry_over(
+        self, known: tuple[str, int], new: tuple[str, int], started_s: float
+    ) -> None:
+        """
+        Keep a hold-off that a new incarnation asked for before it was known.
+
+        A response names the id of its backend server only, so until the entry of the
+        new incarnation arrives, its hold-off counts for the one that is known.
+
+        :param known: the incarnation that was known until now.
+        :param new: the one that replaced it, with the same id.
+        :param started_s: when the new one started. Earlier hold-offs are not its own.
+        """
+        if self._asked_s.get(known, float("-inf")) < started_s:
+            return
+        for times_s in (self._ends_s, self._asked_s, self._next_sends_s):
+            if known in times_s:
+                times_s[new] = max(times_s[known], times_s.get(new, 0.0))
+
     def next_send_s(self, incarnation: tuple[str, int], now: float) -> float:
         """Return the earliest time of a request to an incarnation, in seconds."""
         end_s = self._ends_s.get(incarnation)
@@ -71,5 +93,5 @@
     def _remove_ended(self, now: float) -> None:
         ended = [key for key, end_s in self._ends_s.items() if now >= end_s + RETURN_S]
         for key in ended:
-            del self._ends_s[key]
+            del self._ends_s[key], self._asked_s[key]
             self._next_sends_s.pop(key, None)
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -550,6 +550,8 @@
             return
         if replaced is not None and not replaced.same_incarnation(server):
             self._record_end(replaced, was_expected)
+            started_s = self._monotonic_start_s(server)
+            self.backends.carry_over_hold_off(replaced, server, started_s)
         log(
             LogEvent.BACKEND_LEARNT,
             backend=server.backend_id,
@@ -561,6 +563,11 @@
             revision=revision,
         )
 
+    def _monotonic_start_s(self, server: BackendServer) -> float:
+        """Return the monotonic time at which a backend server started, in seconds."""
+        age_s = self.clock.wall() - server.started_ms / 1_000
+        return self.clock.monotonic() - age_s
+
     def _on_backend_removed(self, backend_id: str, reason: str) -> None:
         log(LogEvent.BACKEND_GONE, backend=backend_id, reason=reason)
         self.cold_limiter.remove(backend_id)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -526,7 +526,7 @@
     engines: list[Engine] = attrs.field(factory=list)
     links: list[Link] = attrs.field(factory=list)
     version: int = 2
-    start_ms: int = 1_700_000_000_000
+    start_ms: int = 0
     rng: random.Random = attrs.field(init=False)
     port_rng: random.Random = attrs.field(init=False, factory=random.Random)
     _fault_tasks: set[asyncio.Task] = attrs.field(init=False, factory=set)
@@ -617,7 +617,7 @@
         await self._wait_until_ready(RECOVERY_BOUND_S)
 
     def _register(self, number: int) -> None:
-        self.start_ms += 1
+        self.start_ms = max(self.start_ms + 1, int(1_000 * time.time()))
         service = "models" if number % 2 else "booking"
         engine = self.engines[number]
         entry = engine.store_entry(
--- a/tests/platform/test_hold_off.py
+++ b/tests/platform/test_hold_off.py
@@ -176,11 +176,25 @@
         engine.retry_after = "30"
         await hold_off(relay, engine)
         engine.retry_after = None
-        born = 1_700_000_009_000
+        born = int(1_000 * time.time())
         relay.store.write("servers/i-0", engine.store_entry("booking", born=born))
         await relay.until(lambda: record_of(relay).server.started_ms == born)
         assert (await lookup(relay, 1)).status == 200
 
 
+async def test_a_restart_that_is_learnt_late_does_not_end_the_hold_off():
+    async with running_relay(reject_while_asked, respond_with_id) as relay:
+        engine = relay.engines[0]
+        engine.retry_after = "30"
+        await hold_off(relay, engine)
+        # The engine had started again, with the same id, before it answered.
+        born = int(1_000 * (time.time() - 5))
+        relay.store.write("servers/i-0", engine.store_entry("booking", born=born))
+        await relay.until(lambda: record_of(relay).server.started_ms == born)
+        replies = await asyncio.gather(*(lookup(relay, n) for n in range(20)))
+        assert {reply.body for reply in replies} == {b"i-1"}
+        assert len(engine.received) == 1
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -18,6 +18,7 @@
     143: "the same as 125",
     423: "an engine that announced leaving was registered as another incarnation",
     530: "an engine that asked to be held off was registered as another incarnation",
+    688: "a hold-off was forgotten with a restart that was learnt late",
     4: "a SIGHUP in the first 60 ms ended a process, which nothing started again",
 }
 MUTANTS = pathlib.Path(__file__).parent / "mutants"
--- a/tests/test_relay_hold_off.py
+++ b/tests/test_relay_hold_off.py
@@ -9,8 +9,10 @@
 from tanagerkeel.relay import HoldOffTable, parse_retry_after
 from tests.support import collect
 
+KNOWN = ("i-0", 1)
+RESTARTED = ("i-0", 2)
 WALL_S = 1_800_000_000.0
-incarnations = st.sampled_from((("i-0", 1), ("i-0", 2), ("i-1", 1)))
+incarnations = st.sampled_from((KNOWN, RESTARTED, ("i-1", 1)))
 
 
 class HoldOffMachine(RuleBasedStateMachine):
@@ -19,7 +21,7 @@
 
     The model holds the sentences of the rule: a hold-off is in force from the response
     until its end, a second one extends it and never shortens it, and another
-    incarnation is not affected.
+    incarnation is not affected, unless it was the one that asked.
     """
 
     def __init__(self):
@@ -27,6 +29,7 @@
         self.table = HoldOffTable()
         self.now = 10.0
         self.ends_s = {}
+        self.asked_s = {}
 
     @rule(incarnation=incarnations, for_s=st.floats(0.01, 60.0))
     def hold_off(self, incarnation, for_s):
@@ -36,6 +39,15 @@
         self.ends_s[incarnation] = max(
             self.ends_s.get(incarnation, 0.0), self.now + for_s
         )
+        self.asked_s[incarnation] = self.now
+
+    @rule(started_ago_s=st.floats(0.0, 60.0))
+    def learn_restart(self, started_ago_s):
+        started_s = self.now - started_ago_s
+        self.table.carry_over(KNOWN, RESTARTED, started_s)
+        if self.asked_s.get(KNOWN, float("-inf")) >= started_s:
+            for times_s in (self.ends_s, self.asked_s):
+                times_s[RESTARTED] = max(times_s.get(RESTARTED, 0.0), times_s[KNOWN])
 
     @rule(incarnation=incarnations)
     def send_if_allowed(self, incarnation):
@@ -49,7 +61,7 @@
 
     @invariant()
     def hold_offs_end_when_the_model_says(self):
-        for incarnation in (("i-0", 1), ("i-0", 2), ("i-1", 1)):
+        for incarnation in (KNOWN, RESTARTED, ("i-1", 1)):
             next_s = self.table.next_send_s(incarnation, self.now)
             end_s = self.ends_s.get(incarnation, 0.0)
             assert next_s >= max(end_s, self.now)
