Keep a rate limit when a restart with the same id is learnt after it

What callers saw: nothing; an engine that had named its Server-Limit got what waited for it at a node all at once (LIMIT).

An engine that starts again with the same id, and names a limit before its new entry arrives, was limited as the incarnation that the node knew; the entry then ended the limit until the next response named it.

Now the limit, with the sends that count towards it, goes over to the new incarnation if it was named after that one started. A limit that goes over wrongly, because of a wrong clock, ends with the next response that names none. Nodes that learn the restart later still report their sends under the old incarnation, and those aren't counted by the nodes that have learnt it; the span is the difference between their updates.

Tests: test_a_restart_that_is_learnt_late_does_not_end_the_limit failed before (all 5 requests were sent with a limit of 0). test_a_new_incarnation_at_the_address_has_no_limit now has an incarnation that starts after the limit was named; its start time lay in 2023.

--- a/src/tanagerkeel/relay/_rate_limit.py
+++ b/src/tanagerkeel/relay/_rate_limit.py
@@ -97,7 +97,8 @@
     The limits of backend servers, by their incarnations.
 
     An incarnation is the id and the start time of a backend server; another incarnation
-    at the address starts without a limit. Times are monotonic, in seconds.
+    at the address starts without a limit that it did not name itself. Times are
+    monotonic, in seconds.
 
     :param node: this node's id.
     """
@@ -163,6 +164,24 @@
             self._ended_s.popitem(last=False)
         return True
 
+    def carry_over(
+        self, known: Incarnation, new: Incarnation, started_s: float
+    ) -> None:
+        """
+        Keep a limit that a new incarnation named before it was known.
+
+        A response names the id of its backend server only, so until the entry of the
+        new incarnation arrives, its limit counts for the one that is known.
+
+        :param known: the incarnation that was known until now.
+        :param new: the one that replaced it, with the same id.
+        :param started_s: when the new one started. Earlier limits are not its own.
+        """
+        limit = self._limits.get(known)
+        if limit is None or limit.named_s < started_s or new in self._limits:
+            return
+        self._limits[new] = self._limits.pop(known)
+
     def next_send_s(
         self, incarnation: Incarnation, heard: int, nodes: int, now: float
     ) -> float:
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -552,6 +552,9 @@
             self._record_end(replaced, was_expected)
             started_s = self._monotonic_start_s(server)
             self.backends.carry_over_hold_off(replaced, server, started_s)
+            self.rate_limits.carry_over(
+                replaced.incarnation, server.incarnation, started_s
+            )
         log(
             LogEvent.BACKEND_LEARNT,
             backend=server.backend_id,
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -117,6 +117,14 @@
         assert all(response.status == 200 for response in responses)
 
 
+async def restart(relay: Relay, engine: Engine, born: int) -> None:
+    """Write the entry of another incarnation, and wait until the node knows it."""
+    entry = engine.store_entry("booking", born=born)
+    relay.store.write(f"servers/{engine.engine_id}", entry)
+    backends = relay.node.state.backends
+    await relay.until(lambda: backends.get(engine.engine_id).server.started_ms == born)
+
+
 async def test_a_new_incarnation_at_the_address_has_no_limit():
     log = ArrivalLog()
     async with running_relay(log.script) as relay:
@@ -125,13 +133,21 @@
         assert (await lookup(relay)).status == 200
         assert (await lookup(relay)).status == 503
         engine.rate_limit = None
-        entry = engine.store_entry("booking", born=1_700_000_009_000)
-        relay.store.write(f"servers/{engine.engine_id}", entry)
-        backends = relay.node.state.backends
-        await relay.until(
-            lambda: backends.get("i-0").server.started_ms == 1_700_000_009_000
-        )
+        await restart(relay, engine, int(1_000 * time.time()))
+        assert (await lookup(relay)).status == 200
+
+
+async def test_a_restart_that_is_learnt_late_does_not_end_the_limit():
+    log = ArrivalLog()
+    async with running_relay(log.script) as relay:
+        engine = relay.engines[0]
+        engine.rate_limit = "0"
         assert (await lookup(relay)).status == 200
+        # The engine had started again, with the same id, before it named the limit.
+        await restart(relay, engine, int(1_000 * (time.time() - 5)))
+        responses = await asyncio.gather(*(lookup(relay) for _ in range(5)))
+        assert {response.status for response in responses} == {503}
+        assert len(engine.received) == 1
 
 
 async def test_values_that_are_no_limit_are_ignored():
--- a/tests/test_rate_limit_table.py
+++ b/tests/test_rate_limit_table.py
@@ -216,6 +216,17 @@
     assert table.next_send_s(ENGINE, 1, 1, now=1.0) > 5.0
 
 
+def test_a_limit_goes_over_to_the_incarnation_that_named_it():
+    for named_s, started_s, expected in ((2.0, 1.0, 0.0), (2.0, 3.0, None)):
+        table = RateLimitTable("node-1")
+        table.record_named(ENGINE, 0.0, now=named_s)
+        table.carry_over(ENGINE, ("i-0", 2), started_s)
+        assert table.limit(("i-0", 2)) == expected
+        # What was sent before counts for the new incarnation too.
+        if expected is not None:
+            assert table.next_send_s(("i-0", 2), 1, 1, now=4.0) > 5.0
+
+
 def test_only_decimal_numbers_are_limits():
     assert parse_rate_limit("1") == 1.0
     assert parse_rate_limit(" 0.25 ") == 0.25
