Bound the used share of a limit by what the design promises

test_the_limit_is_kept_while_the_load_moves_between_nodes asked for more than 0.4 of the limit, a bound that came from a measurement. It also counted only the sends of nodes to which the engine itself had named the limit, so it left out what other nodes had sent.

Now all sends count, and at least 0.5 of a limit of 1 must be used. The design note says why that holds: 0.6 of the limit is used, less a node's own delay of up to 0.12 s (six nodes) and the wait for the next request, so 1 / (1 / 0.6 + 0.12 + 0.15 s) = 0.52.

--- a/tests/test_rate_limit_table.py
+++ b/tests/test_rate_limit_table.py
@@ -24,6 +24,8 @@
 TOLD_S = 0.5
 LIMIT_SHARE = 1.5
 EXTRA_REQUESTS = 5
+# Promised in docs/design/rate-limits.md of a limit of 1 that one of six nodes uses.
+MIN_USED_SHARE = 0.5
 ENGINE = ("i-0", 1)
 RESPONSE_S = 0.05
 RUN_S = 40.0
@@ -134,7 +136,7 @@
         return most
 
     def used_share(self, limit, since_s=STABLE_S):
-        sent = sum(s >= since_s for s in self.sends_s)
+        sent = sum(s >= since_s for s in self.all_sends_s)
         return sent / limit / (self.now - since_s)
 
 
@@ -159,7 +161,7 @@
             fleet.at(2.0 * number, setattr, fleet, "senders", (number % 6,))
         fleet.run()
         assert fleet.most_in_span() <= allowed_in_span(1.0), seed
-        assert fleet.used_share(1.0) > 0.4, seed
+        assert fleet.used_share(1.0) >= MIN_USED_SHARE, seed
 
 
 def test_the_limit_is_kept_by_nodes_that_do_not_hear_each_other():
