Bound the refusals of rare sections by what the design promises

test_rare_sections_are_served_again_soon_after_engines_ended_for_other_reasons asked for more than 0.9 of the requests over the whole run, a bound without a stated target. The bound of the users (LOST, half) is checked beside it as before.

--- a/tests/test_section_quarantine.py
+++ b/tests/test_section_quarantine.py
@@ -26,6 +26,9 @@
 MAX_LATE_REQUESTS = 3
 SERVED_AGAIN_S = 6.0
 MIN_SERVED_SHARE = 0.5
+# Promised in docs/design/section-quarantine.md of requests with rare sections, over a
+# time in which engines end for other reasons.
+MIN_RARE_SHARE = 0.95
 # Time from a send to the first event or to the crash, in seconds.
 FIRST_EVENT_S = (0.02, 0.15)
 RUN_S = 40.0
@@ -270,7 +273,8 @@
         fleet = Fleet(seed, crashing_sections=())
         end_engines_for_other_reasons(fleet)
         share = fleet.served_share(20.7 + SERVED_AGAIN_S)
-        assert share >= MIN_SERVED_SHARE and fleet.served_share() > 0.9, (seed, share)
+        assert share >= MIN_SERVED_SHARE, (seed, share)
+        assert fleet.served_share() >= MIN_RARE_SHARE, (seed, fleet.served_share())
 
 
 def test_a_node_that_restarts_learns_the_quarantine():
