Call a section of a prompt a section in the soak test too

A part is what one of several engines prefills of a long prompt; what a prompt names in its list is a section (docs/glossary.md). The soak still called both a part. Names and texts only.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -87,7 +87,7 @@
 RECOVERY_BOUND_S = 12.0
 # How long a crashed engine refuses connections, in seconds.
 CRASHED_S = 0.7
-# Interval of the requests with a part that crashes engines, in seconds.
+# Interval of the requests with a section that crashes engines, in seconds.
 CRASHING_INTERVAL_S = 0.15
 # How long an engine names a limit, in seconds: longer than the time after which the
 # bound on its requests begins to hold.
@@ -147,7 +147,7 @@
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
     :param limits: counts the requests to engines that name a limit.
-    :param parts: counts the requests with a part that crashes engines.
+    :param sections: counts the requests with a section that crashes engines.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
         engine ran a request that no client sent), ``CONFIG`` (a revoked key was used),
         ``TWICE`` (an unsafe request ran twice), ``REFUSED`` (a request that ran was
@@ -155,7 +155,7 @@
         response), ``ORDER`` (missing, repeated or reordered events, or a broken-off
         response that is complete), ``DRAIN`` (a node sent a request to an engine after
         it had passed on that the engine leaves), ``BUDGET`` (a node sent more than two
-        requests to an engine that it should have held off, or requests with a part
+        requests to an engine that it should have held off, or requests with a section
         after it had crashed too many engines), ``LIMIT`` (the nodes sent an engine more
         than the limit that it had named) or ``RECOVER`` (a node did not recover after
         the last fault).
@@ -171,7 +171,7 @@
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
-    parts: SectionChecker = attrs.field(factory=SectionChecker)
+    sections: SectionChecker = attrs.field(factory=SectionChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -223,7 +223,7 @@
 
     def excuse_node(self, node: str) -> None:
         """Forget what a node knew before its process was restarted or frozen."""
-        self.parts.record_disruption(node)
+        self.sections.record_disruption(node)
         self.limits.record_disruption(node)
         for known in (self.announced_s, self.hold_offs):
             for key in [key for key in known if key[0] == node]:
@@ -239,11 +239,11 @@
             self.violations.append(f"LIMIT {request_id} sent to {engine.engine_id}")
 
     def check_crashing_section(self, request_id: str) -> None:
-        """Check that few requests with a part arrive after it has crashed engines."""
+        """Check that few requests with a section arrive after it has crashed engines."""
         node = self.node_by_request.get(request_id, "")
-        if self.parts.record_arrival(node):
+        if self.sections.record_arrival(node):
             self.violations.append(
-                f"BUDGET {request_id} with a crashing part by {node}"
+                f"BUDGET {request_id} with a crashing section by {node}"
             )
 
     def check_response(self, call: Call) -> None:
@@ -327,7 +327,7 @@
             checker.check_crashing_section(request.request_id)
             await asyncio.sleep(EVENT_INTERVAL_S)
             if crash():
-                checker.parts.record_crash()
+                checker.sections.record_crash()
             fixtures.reset_connection(writer)
         if rng.random() < fault_rates["shed"]:
             await fixtures.shed_request(engine, request, writer)
@@ -500,8 +500,8 @@
         leaves, so that each node gets to know.
     :param holds_off_first: likewise, whether one engine asks to be held off all the
         time.
-    :param crashes_first: likewise, whether requests with a crashing part come all the
-        time.
+    :param crashes_first: likewise, whether requests with a crashing section come all
+        the time.
     :param limits_first: likewise, whether one engine names a limit all the time.
     :param fault_rates: the share in force for each kind of fault.
     :param links: the proxies before the store (first) and before each engine.
@@ -777,7 +777,7 @@
         self._busy_engines.discard(number)
 
     async def _send_crashing_requests(self, duration_s: float) -> None:
-        """Send requests that have only a part that crashes engines in common."""
+        """Send requests that have only a section that crashes engines in common."""
         end = time.monotonic() + duration_s
         async with asyncio.TaskGroup() as calls:
             while time.monotonic() < end:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -116,7 +116,7 @@
 
 def test_a_section_that_crashes_engines_is_quarantined():
     checker = _run(seconds=8.0, crashes_first=True)
-    assert checker.parts.crashes_s and not checker.violations, checker.violations
+    assert checker.sections.crashes_s and not checker.violations, checker.violations
 
 
 def test_requests_beyond_the_limit_that_an_engine_names_are_detected():
