--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -239,7 +239,7 @@
             self.violations.append(f"LIMIT {request_id} sent to {engine.engine_id}")
 
     def check_crashing_section(self, request_id: str) -> None:
-        """Check that few requests with a section arrive after it has crashed engines."""
+        """Check that few requests with a section arrive after it crashed engines."""
         node = self.node_by_request.get(request_id, "")
         if self.sections.record_arrival(node):
             self.violations.append(
