Reproduce that a restart learnt late blames requests sent after it

The same cause as for hold-offs and limits: what is known of an engine is kept for the incarnation whose entry the node knew, although a restart with the same id may have received the request. When the new entry arrives, the end of the old incarnation counts for the sections of requests that run on the new one and have no event yet.

What callers see at the worst: a section that started on no engine for 120 s is refused for some seconds after two such restarts.

--- a/tests/platform/test_prompt_sections.py
+++ b/tests/platform/test_prompt_sections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 
 import attrs
 
@@ -206,6 +207,29 @@
             assert not state.section_quarantine._suspects, field
 
 
+async def test_a_request_to_a_restart_that_is_learnt_late_is_not_blamed_for_the_crash():
+    release = asyncio.Event()
+
+    async def wait(
+        engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await release.wait()
+        await CrashLog().script(engine, request, writer)
+
+    async with running_relay(wait, service="models") as relay:
+        engine = relay.engines[0]
+        state = relay.node.state
+        # The engine had started again, with the same id, before it got the request.
+        born = int(1_000 * (time.time() - 5))
+        call = asyncio.create_task(send(relay, "aa"))
+        await relay.until(lambda: relay.received_count() == 1)
+        relay.store.write("servers/i-0", engine.store_entry("models", born=born))
+        await relay.until(lambda: state.backends.get("i-0").server.started_ms == born)
+        assert not state.section_quarantine._suspects
+        release.set()
+        assert (await call).status == 200
+
+
 def quarantine(relay: Relay, section: str) -> None:
     """Give a node the evidence for which it quarantines a section."""
     state = relay.node.state
