--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -179,7 +179,7 @@
         and prefill_ms(profile, demand.prompt_tokens) <= max_prefill_ms
     ):
         return
-    # A part of a prompt, and a reservation, would count as further requests.
+    # Parts of prompts, and reservations, would count towards a server's limit.
     warm = [c for c in candidates if not c.cold and not c.limited]
     for engines in range(max(2, min_engines), min(MAX_PREFILL_ENGINES, len(warm)) + 1):
         yield from _split_between(warm, demand, now, engines, needs_reservations)
--- a/src/tanagerkeel/relay/_rate_limit.py
+++ b/src/tanagerkeel/relay/_rate_limit.py
@@ -108,7 +108,6 @@
     _limits: "collections.OrderedDict[Incarnation, _Limit]" = attrs.field(
         factory=collections.OrderedDict
     )
-
     # When the limit of an incarnation ended, the latest last.
     _ended_s: "collections.OrderedDict[Incarnation, float]" = attrs.field(
         factory=collections.OrderedDict
--- a/src/tanagerkeel/relay/_section_quarantine.py
+++ b/src/tanagerkeel/relay/_section_quarantine.py
@@ -172,9 +172,8 @@
         crash_hash = xxhash.xxh32_intdigest(crash.encode())
         self._put_crash(crash_hash, now)
         quarantined = []
-        for section in dict.fromkeys(
-            p for a in attempts for p in self._charged(a, now)
-        ):
+        charged = (s for sections in attempts for s in self._charged(sections, now))
+        for section in dict.fromkeys(charged):
             before = self._is_quarantined(_hash(section), now)
             evidence = self._suspect(_hash(section), now)
             if evidence.add_crash(crash_hash, now):
@@ -282,7 +281,7 @@
     def _blamed(self, sections: Sequence[str], now: float) -> tuple[str, ...]:
         if not self._suspects:
             return ()
-        return tuple(p for p in sections if self._is_quarantined(_hash(p), now))
+        return tuple(s for s in sections if self._is_quarantined(_hash(s), now))
 
     def _is_quarantined(self, key: int, now: float) -> bool:
         evidence = self._suspects.get(key)
