Check the used share of a limit by the former count, too

A change after which only the nodes that were told send less could pass the new check and fail the old one.

The old check is back beside the new one, with its bound as it was. That bound still has no stated target.

--- a/tests/test_rate_limit_table.py
+++ b/tests/test_rate_limit_table.py
@@ -135,8 +135,9 @@
             most = max(most, end - begin)
         return most
 
-    def used_share(self, limit, since_s=STABLE_S):
-        sent = sum(s >= since_s for s in self.all_sends_s)
+    def used_share(self, limit, since_s=STABLE_S, only_told=False):
+        sends_s = self.sends_s if only_told else self.all_sends_s
+        sent = sum(s >= since_s for s in sends_s)
         return sent / limit / (self.now - since_s)
 
 
@@ -162,6 +163,7 @@
         fleet.run()
         assert fleet.most_in_span() <= allowed_in_span(1.0), seed
         assert fleet.used_share(1.0) >= MIN_USED_SHARE, seed
+        assert fleet.used_share(1.0, only_told=True) > 0.4, seed
 
 
 def test_the_limit_is_kept_by_nodes_that_do_not_hear_each_other():
