Observe the era of the platform's store, and delays of the event loop

What callers saw: with CONFIG, an older version of the configuration after a newer one had been acknowledged; with DRAIN, requests to servers that had said that they leave.

Two metrics show how late the event loop runs and how old the last confirmation of the configuration is. No answer is used differently yet.

--- a/src/tanagerkeel/gateways/platform/__init__.py
+++ b/src/tanagerkeel/gateways/platform/__init__.py
@@ -1,5 +1,6 @@
 """Key-value store and VM list of the platform: interfaces and an HTTP client."""
 
+from tanagerkeel.gateways.platform._era_observer import EraObserver
 from tanagerkeel.gateways.platform._http import HttpPlatformGateway
 from tanagerkeel.gateways.platform._protocol import (
     ABSENT,
@@ -20,6 +21,7 @@
     "ABSENT",
     "Changes",
     "CompareFailed",
+    "EraObserver",
     "HistoryLost",
     "HttpPlatformGateway",
     "Lease",
--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -49,6 +49,7 @@
     SectionReport,
     StartReport,
 )
+from tanagerkeel.relay._store_era import EraChange, StoreEra
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
 from tanagerkeel.relay._watching import (
     SMALL_FLEET_NODES,
@@ -77,6 +78,7 @@
     "DecodeBatch",
     "Demand",
     "EngineProfile",
+    "EraChange",
     "Estimate",
     "EventSplitter",
     "Headers",
@@ -99,6 +101,7 @@
     "SendReport",
     "StartReport",
     "StoreChange",
+    "StoreEra",
     "StreamEvent",
     "EncodedChange",
     "LargeValueCache",
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -8,6 +8,7 @@
 FIRST_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0)
 WHOLE_BUCKETS_S = (0.1, 0.3, 1.0, 2.0, 4.0, 8.0, 15.0)
 WAIT_BUCKETS_S = (0.001, 0.01, 0.05, 0.1, 0.3, 1.0, 3.0)
+DELAY_BUCKETS_S = (0.01, 0.05, 0.2, 0.5, 1.0, 2.0)
 
 
 def _histogram(
@@ -45,6 +46,8 @@
     :param leaving: backend servers that announced in a response that they leave.
     :param rate_limited: backend servers that limit the requests per second.
     :param quarantined_sections: prompt sections for which requests are refused.
+    :param loop_delay: how late the event loop runs a timer.
+    :param confirmed_age: time since the store last confirmed the configuration.
     """
 
     _registry: prometheus_client.CollectorRegistry = attrs.field(
@@ -60,6 +63,8 @@
     leaving: prometheus_client.Gauge = attrs.field(init=False)
     rate_limited: prometheus_client.Gauge = attrs.field(init=False)
     quarantined_sections: prometheus_client.Gauge = attrs.field(init=False)
+    loop_delay: prometheus_client.Histogram = attrs.field(init=False)
+    confirmed_age: prometheus_client.Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         registry = self._registry
@@ -101,6 +106,17 @@
             "Prompt sections for which requests are refused",
             registry=registry,
         )
+        self.loop_delay = prometheus_client.Histogram(
+            "tanagerkeel_relay_loop_delay_seconds",
+            "How late the event loop runs a timer",
+            buckets=DELAY_BUCKETS_S,
+            registry=registry,
+        )
+        self.confirmed_age = prometheus_client.Gauge(
+            "tanagerkeel_relay_confirmed_age_seconds",
+            "Time since the store last confirmed the configuration",
+            registry=registry,
+        )
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -37,6 +37,8 @@
 # Interval, in seconds, at which idle connections are closed before their backend
 # servers close them.
 SWEEP_INTERVAL_S = 1.0
+# Interval at which the delay of the event loop is measured, in seconds.
+LOOP_DELAY_INTERVAL_S = 0.5
 # Pause before a task that ended with an unexpected exception is restarted, in seconds.
 TASK_RESTART_DELAY_S = 0.5
 # Part of the grace period that is reserved for revoking the node's lease and ending the
@@ -96,6 +98,7 @@
                 self._clock.monotonic()
             )
         )
+        self._metrics.confirmed_age.set_function(lambda: self.state.confirmed_age_s)
         self._pool = ConnectionPool(self._clock)
         self._presence = RelayPresenceTask(self._store, self.state, self._random)
         self._peer_updates = PeerUpdateTask(self.state, self._presence, self._random)
@@ -153,6 +156,7 @@
         self._start_task("store", store.run)
         self._start_task("presence", self._presence.run)
         self._start_task("sweep", self._sweep_idle_connections)
+        self._start_task("delay", self._measure_loop_delay)
         self._start_task(
             "reach", ReachabilityTask(self.state, self._pool, self._random).run
         )
@@ -258,6 +262,13 @@
                 log(LogEvent.TASK_FAILED, task=name, error=repr(error))
             await self._clock.sleep(TASK_RESTART_DELAY_S)
 
+    async def _measure_loop_delay(self) -> None:
+        while True:
+            due_s = self._clock.monotonic() + LOOP_DELAY_INTERVAL_S
+            await self._clock.sleep(LOOP_DELAY_INTERVAL_S)
+            delay_s = max(0.0, self._clock.monotonic() - due_s)
+            self._metrics.loop_delay.observe(delay_s)
+
     async def _sweep_idle_connections(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_INTERVAL_S)
