Reproduce CONFIG: a version written below the known revision is never in force

The store of the tests returns from an older copy on demand and names its era in its answers. The operator writes a new version at a revision that the store gives out again, and other writes pass the one that the node knows. The node's watch after that is answered normally and does not hold the version: 404 on the route that it added, for good.

Lease ids of the in-memory store are given out again, too.

--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import copy
-import itertools
 import json
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -12,6 +11,7 @@
 
 from panunumpa import PlatformBackendCodec, PlatformCallerCodec, PlatformStoreDecoder
 from tanagerkeel.gateways.platform import (
+    ABSENT,
     Changes,
     CompareFailed,
     HistoryLost,
@@ -20,6 +20,7 @@
     Listing,
     PlatformUnavailable,
     StoreEntry,
+    WatchedStore,
 )
 from tanagerkeel.relay_entry import RelayBounds, RelayNode, RelaySettings
 from tests.fixtures import abort_with_reset, reset_connection
@@ -38,28 +39,44 @@
 WAIT_TIMEOUT_S = 5.0
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of all that a :class:`MemoryStore` holds, as of one moment."""
+
+    revision: int
+    items: dict[str, StoreEntry]
+    leases: dict[int, set[str]]
+    last_lease_id: int
+    history: tuple[tuple[int, "StoreEntry | str"], ...]
+
+
 @attrs.define
 class MemoryStore:
     """
     An in-memory store with the methods of :class:`panunumpa.PlatformStore`.
 
+    Used directly by a node, it must not be restored from a copy: nodes learn of that
+    from the header that ``soak_links.StoreServer`` adds to its answers.
+
     :param down: whether every call fails at once, with status 503.
     :param silent: whether every call fails after 1.5 s, as a call that times out does.
     :param history_lost: whether the next watch finds its history lost.
     :param calls: names of the calls that were made, in order; ``watched`` is added when
         the wait of a ``watch`` ends.
+    :param era: how many times the store has returned from a copy, plus one.
     """
 
     down: bool = False
     silent: bool = False
     history_lost: bool = False
     calls: list[str] = attrs.field(factory=list)
+    era: int = 1
     _revision: int = 10
     _items: dict[str, StoreEntry] = attrs.field(factory=dict)
     _leases: dict[int, set[str]] = attrs.field(factory=dict)
     _history: list[tuple[int, "StoreEntry | str"]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _lease_ids: "itertools.count[int]" = attrs.field(factory=lambda: itertools.count(1))
+    _last_lease_id: int = 0
 
     def write(self, key: str, value: object) -> None:
         """Write a value, encoded as JSON unless it is bytes, without a lease."""
@@ -74,9 +91,39 @@
             self._revision += 1
             self._record_change(key)
 
+    @property
+    def revision(self) -> int:
+        """The revision of the latest change."""
+        return self._revision
+
     def keys(self) -> list[str]:
         return sorted(self._items)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds now."""
+        leases = {lease_id: set(keys) for lease_id, keys in self._leases.items()}
+        return StoreCopy(
+            self._revision,
+            dict(self._items),
+            leases,
+            self._last_lease_id,
+            tuple(self._history),
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """
+        Return from a copy: what was written since is gone, and a new era begins.
+
+        Revisions and lease ids are given out again.
+        """
+        self.era += 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._leases = {lease_id: set(keys) for lease_id, keys in copy.leases.items()}
+        self._last_lease_id = copy.last_lease_id
+        self._history = list(copy.history)
+        self._wake_watches()
+
     def expire_all_leases(self) -> None:
         """End every lease, as an outage of the store may, and delete the keys."""
         for lease_id, keys in list(self._leases.items()):
@@ -95,7 +142,7 @@
 
     async def changes(self, prefix: str, after: int, wait_ms: int) -> Changes:
         await self._begin_call("watch")
-        if self.history_lost:
+        if self.history_lost or after > self._revision:
             self.history_lost = False
             raise HistoryLost
         if self._revision <= after:
@@ -111,7 +158,7 @@
     ) -> int:
         await self._begin_call("put")
         known = self._items.get(key)
-        revision = known.revision if known else 0
+        revision = known.revision if known else ABSENT
         if expected is not None and expected != revision:
             raise CompareFailed(revision)
         if lease_id and lease_id not in self._leases:
@@ -123,9 +170,9 @@
 
     async def grant(self, ttl_ms: int) -> Lease:
         await self._begin_call("grant")
-        lease_id = next(self._lease_ids)
-        self._leases[lease_id] = set()
-        return Lease(lease_id, ttl_ms)
+        self._last_lease_id += 1
+        self._leases[self._last_lease_id] = set()
+        return Lease(self._last_lease_id, ttl_ms)
 
     async def keep_alive(self, lease_id: int) -> bool:
         await self._begin_call("keep")
@@ -146,6 +193,9 @@
 
     def _record_change(self, event: "StoreEntry | str") -> None:
         self._history.append((self._revision, event))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -576,7 +626,7 @@
                 await asyncio.sleep(0.005)
 
 
-def _make_node(store: MemoryStore, node_id: str, bounds: RelayBounds) -> RelayNode:
+def _make_node(store: WatchedStore, node_id: str, bounds: RelayBounds) -> RelayNode:
     settings = RelaySettings(
         node_id=node_id,
         failure_domain="zone-a",
@@ -612,6 +662,8 @@
     document: dict | None = None,
     configured: bool = True,
     node_count: int = 1,
+    store: MemoryStore | None = None,
+    connect: Callable[[MemoryStore], WatchedStore] = lambda store: store,
 ) -> AsyncIterator[Relay]:
     """
     Run nodes and one engine for each script, and yield when the nodes are ready.
@@ -624,8 +676,10 @@
     :param configured: whether the store holds a configuration. Without one the node
         does not become ready, and is yielded once it knows an engine.
     :param node_count: number of nodes, which know each other when they are yielded.
+    :param store: an empty store; None for a new one.
+    :param connect: returns a node's client of the store.
     """
-    store = MemoryStore()
+    store = store or MemoryStore()
     engines = [Engine(f"i-{n}", script) for n, script in enumerate(scripts)]
     for engine in engines:
         await engine.start()
@@ -634,7 +688,7 @@
         store.write("op/config", document or configuration())
     bounds = bounds or RelayBounds(grace_s=3.0)
     nodes = [
-        _make_node(store, f"node-{number}", bounds)
+        _make_node(connect(store), f"node-{number}", bounds)
         for number in range(1, node_count + 1)
     ]
     for node in nodes:
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -181,7 +181,10 @@
         except LeaseLapsed:
             status, answer = 404, {}
         data = json.dumps(answer).encode()
-        headers = [(b"content-length", str(len(data)).encode())]
+        headers = [
+            (b"content-length", str(len(data)).encode()),
+            (b"store-era", str(self.store.era).encode()),
+        ]
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
--- /dev/null
+++ b/tests/platform/test_store_eras.py
@@ -0,0 +1,107 @@
+"""
+A store that returns from an older copy: what nodes believe, and what they write again.
+
+Covers the rules CONFIG, DRAIN and EVAC. The nodes reach the store over HTTP, as its
+answers name its era in a header.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from panunumpa import PlatformStore
+from tanagerkeel.gateways.http_client import WholeResponse
+from tanagerkeel.gateways.http_server import HttpServer
+from tests.platform.fixtures import (
+    MemoryStore,
+    Relay,
+    configuration,
+    respond_with_id,
+    route,
+    running_relay,
+)
+from tests.platform.soak_links import StoreServer
+from tests.support import collect
+
+REQUEST_COUNT = 6
+# A route that a later version of the configuration adds.
+ADDED_ROUTE = route("added", "safe", "booking")
+
+
+@contextlib.asynccontextmanager
+async def relay_over_http(*scripts, **options) -> AsyncIterator[Relay]:
+    """Run nodes, as :func:`running_relay` does, that call the store over HTTP."""
+    store = MemoryStore()
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(response_class=WholeResponse)
+        )
+        server = HttpServer(StoreServer(store), "127.0.0.1", 0)
+        await server.start()
+        stack.push_async_callback(server.stop, 0.0)
+        yield await stack.enter_async_context(
+            running_relay(
+                *scripts,
+                store=store,
+                connect=lambda _: PlatformStore(session, server.address),
+                **options,
+            )
+        )
+
+
+def pass_revision(relay: Relay, revision: int) -> None:
+    """Let the store's revision pass another one, by writes that nodes ignore."""
+    while relay.store.revision <= revision:
+        relay.store.write("op/other", {})
+
+
+async def write_again(relay: Relay, number: int = 0, times: int = 5) -> int:
+    """
+    Write an engine's entry again, and wait until the nodes have read it.
+
+    :returns: its revision, which the nodes know.
+    """
+    engine = relay.engines[number]
+    key = engine.engine_id
+    for sequence in range(times):
+        relay.store.write(
+            f"servers/{key}", engine.store_entry("booking", sequence=2 + sequence)
+        )
+    known = relay.store.revision
+    tables = [node.state.backends for node in relay.nodes]
+    await relay.until(lambda: all(table.get(key).revision == known for table in tables))
+    return known
+
+
+def version_in_force(relay: Relay, node: int = 0) -> int:
+    return relay.nodes[node].state.configuration.version
+
+
+async def test_a_version_that_is_written_below_the_known_revision_is_in_force():
+    async with relay_over_http(respond_with_id) as relay:
+        store = relay.store
+        copy = store.copy()
+        known = await write_again(relay)
+        async with outage(relay):
+            store.restore(copy)
+            added = configuration(5)
+            added["routes"].append(ADDED_ROUTE)
+            store.write("op/config", added)
+            pass_revision(relay, known)
+        await relay.until(lambda: version_in_force(relay) == 5)
+        assert (await relay.call("/added/x")).status == 200
+
+
+@contextlib.asynccontextmanager
+async def outage(relay: Relay) -> AsyncIterator[None]:
+    """Take the store away until the block ends; the nodes notice it."""
+    backends = [node.state.backends for node in relay.nodes]
+    relay.store.down = True
+    await relay.until(lambda: all(table.store_unreachable for table in backends))
+    yield
+    relay.store.down = False
+
+
+def load_tests(loader, tests, pattern):
+    return collect(globals())
