Reproduce DRAIN: a server that drains below its known revision stays ready

After the store has returned from an older copy, an engine writes "draining" at a revision below the one that the node knows of its entry. The node lists the store again, since the store answers 410, but its table of backend servers ignores the entry.

--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -78,6 +78,15 @@
     return relay.nodes[node].state.configuration.version
 
 
+async def bodies_of_lookups(relay: Relay, node: int = 0) -> set[bytes]:
+    """Send requests one after the other; return the bodies of the responses."""
+    replies = [
+        await relay.call("/lookup/x", node=node, request_id=f"r{n}")
+        for n in range(REQUEST_COUNT)
+    ]
+    return {reply.body for reply in replies}
+
+
 async def test_a_version_that_is_written_below_the_known_revision_is_in_force():
     async with relay_over_http(respond_with_id) as relay:
         store = relay.store
@@ -93,6 +102,22 @@
         assert (await relay.call("/added/x")).status == 200
 
 
+async def test_a_server_that_drains_below_its_known_revision_gets_no_request():
+    async with relay_over_http(respond_with_id, respond_with_id) as relay:
+        store, draining = relay.store, relay.engines[0]
+        copy = store.copy()
+        await write_again(relay)
+        async with outage(relay):
+            store.restore(copy)
+            store.write(
+                "servers/i-0", draining.store_entry("booking", state="draining")
+            )
+        await relay.until(
+            lambda: relay.node.state.backends.get("i-0").server.state == "draining"
+        )
+        assert await bodies_of_lookups(relay) == {b"i-1"}
+
+
 @contextlib.asynccontextmanager
 async def outage(relay: Relay) -> AsyncIterator[None]:
     """Take the store away until the block ends; the nodes notice it."""
