List the store again when it has returned from an older copy

What callers saw: CONFIG, 404 on routes and old services after a newer version had been acknowledged.

Cause: a revision was taken as a position in one history. After the store has returned from an older copy, it gives revisions out again. A watch after the revision that the node knows is answered normally once the store has passed it, without what was written again at or below it. The class of fault: a number compared outside the history that gives it meaning.

Why it works: the era belongs to the revision. A node whose revision is of another era than the newest answer of any call lists the store again; a watch that is open then is given up. A listing of several pages is of one era, and an answer of an older era is dropped whole.

--- a/src/tanagerkeel/gateways/platform/_protocol.py
+++ b/src/tanagerkeel/gateways/platform/_protocol.py
@@ -1,5 +1,6 @@
 """Interfaces of the platform's key-value store and VM list."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -47,10 +48,12 @@
     :param entries: the entries; read page by page, those on later pages may be
         newer than ``revision``.
     :param revision: revision after which to watch for changes.
+    :param era: era of the store in which all entries were read.
     """
 
     entries: tuple[StoreEntry, ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -61,10 +64,12 @@
     :param events: for each change the entry as it was written, or the key that was
         deleted.
     :param revision: revision after which to watch for further changes.
+    :param era: era of the store to which the changes belong.
     """
 
     events: tuple["StoreEntry | str", ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -190,9 +195,20 @@
     """
     Calls to a platform that can watch all keys under a prefix.
 
-    Every method may raise :class:`PlatformUnavailable`.
+    The store may return from an older copy: a new era begins, in which what was written
+    last is gone, and revisions and lease ids are given out again. An answer that was
+    given before that and arrives later is dropped.
+
+    Every coroutine may raise :class:`PlatformUnavailable`.
     """
 
+    @property
+    def era(self) -> int:
+        """The newest era that an answer has named; 0 before that."""
+
+    def add_era_listener(self, on_new_era: Callable[[], None]) -> None:
+        """Add a callback for when an answer names a newer era."""
+
     async def list_all(self, prefix: str) -> Listing:
         """
         Return the entries whose keys start with ``prefix``.
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -1,10 +1,14 @@
 """
 Mirrors the platform's store: one listing, then watch calls over all keys.
 
+When the store has returned from an older copy, its revisions no longer tell what this
+node has seen, so that it lists the store again.
+
 In a large fleet only some nodes, the watchers, call the store. The others poll the
 watchers of their failure domain over datagrams and call the store when these fail.
 """
 
+import asyncio
 import math
 import random
 
@@ -68,6 +72,10 @@
 RETRY_MAX_S = 0.5
 
 
+class _EraEnded(Exception):
+    """A new era of the store has begun: this node's revision has no meaning in it."""
+
+
 @attrs.define
 class StoreTask:
     """
@@ -91,6 +99,15 @@
     # Whether the last call succeeded; None before the first call has ended.
     _reachable: bool | None = None
     _delay_next_call: bool = False
+    _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self._store.add_era_listener(self._era_changed.set)
+
+    @property
+    def _lists_next(self) -> bool:
+        """Whether the next call has to list the store."""
+        return self._exchange.revision is None or self._exchange.era != self._store.era
 
     @property
     def _watches_for_others(self) -> bool:
@@ -127,7 +144,7 @@
     @property
     def _polls_watchers(self) -> bool:
         now = self._state.clock.monotonic()
-        if self._exchange.revision is None or now < self._watch_until_s:
+        if self._lists_next or now < self._watch_until_s:
             return False
         return self._state.settings.node_id not in self._watchers
 
@@ -207,12 +224,14 @@
         """
         confirmed_s = self._state.clock.boottime()
         try:
-            if self._exchange.revision is None:
+            if self._lists_next:
                 self._apply_listing(await self._store.list_all(ALL_KEYS))
             else:
                 confirmed_s += await self._fetch_changes(
                     self._exchange.revision, wait_ms
                 )
+        except _EraEnded:
+            return
         except HistoryLost:
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
@@ -231,9 +250,12 @@
 
         :returns: for how long after the start of the call the state was confirmed, in
             seconds: the whole wait when nothing changed during it, otherwise 0.
+        :raises _EraEnded: when the changes belong to another era than ``after``.
         """
         sent_s = self._state.clock.boottime()
-        changes = await self._store.changes(ALL_KEYS, after, wait_ms)
+        changes = await self._watch(after, wait_ms)
+        if changes.era != self._exchange.era:
+            raise _EraEnded
         for change in changes.events:
             self._apply_change(change, changes.revision)
         self._record_changes(after, changes)
@@ -244,6 +266,21 @@
         # The store reported no change up to the end of the requested wait.
         return wait_ms / 1_000
 
+    async def _watch(self, after: int, wait_ms: int) -> Changes:
+        """Watch for changes, until any other call finds that a new era has begun."""
+        # The caller has just checked that the era is the listing's.
+        self._era_changed.clear()
+        watch = asyncio.ensure_future(self._store.changes(ALL_KEYS, after, wait_ms))
+        era_change = asyncio.ensure_future(self._era_changed.wait())
+        try:
+            await asyncio.wait((watch, era_change), return_when=asyncio.FIRST_COMPLETED)
+            if era_change.done():
+                raise _EraEnded
+            return watch.result()
+        finally:
+            watch.cancel()
+            era_change.cancel()
+
     def _record_changes(self, after: int, changes: Changes) -> None:
         """Record the new revision and values; on a watcher, also for other nodes."""
         self._exchange.revision = changes.revision
@@ -308,6 +345,7 @@
         for removed in set(self._state.peers.ids()) - nodes:
             self._remove_peer(removed)
         self._exchange.revision = listing.revision
+        self._exchange.era = listing.era
         self._exchange.change_log.clear()
 
     def _apply_change(self, change: StoreEntry | str, revision: int) -> None:
--- a/src/tanagerkeel/relay_entry/_watcher_exchange.py
+++ b/src/tanagerkeel/relay_entry/_watcher_exchange.py
@@ -70,6 +70,7 @@
     :param large_values: newest large values, as bases of deltas.
     :param revision: the store's revision that this node has applied; None before the
         first listing.
+    :param era: the era of the store to which the revision belongs.
     """
 
     _state: RelayState
@@ -77,6 +78,7 @@
     change_log: ChangeLog = attrs.field(factory=ChangeLog)
     large_values: LargeValueCache = attrs.field(factory=LargeValueCache)
     revision: int | None = None
+    era: int | None = None
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _pending: dict[int, asyncio.Future] = attrs.field(factory=dict)
     _hint_received: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -76,6 +76,7 @@
     _leases: dict[int, set[str]] = attrs.field(factory=dict)
     _history: list[tuple[int, "StoreEntry | str"]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _watches_released: asyncio.Event | None = None
     _last_lease_id: int = 0
 
     def write(self, key: str, value: object) -> None:
@@ -91,6 +92,9 @@
             self._revision += 1
             self._record_change(key)
 
+    def add_era_listener(self, on_new_era: Callable[[], None]) -> None:
+        """Ignore the listener: nodes that use the store directly see one era."""
+
     @property
     def revision(self) -> int:
         """The revision of the latest change."""
@@ -138,20 +142,23 @@
     async def list_all(self, prefix: str) -> Listing:
         await self._begin_call("list")
         found = (e for k, e in sorted(self._items.items()) if k.startswith(prefix))
-        return Listing(tuple(found), self._revision)
+        return Listing(tuple(found), self._revision, self.era)
 
     async def changes(self, prefix: str, after: int, wait_ms: int) -> Changes:
         await self._begin_call("watch")
         if self.history_lost or after > self._revision:
             self.history_lost = False
             raise HistoryLost
+        era = self.era
         if self._revision <= after:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_ms / 1_000):
                     await self._changed.wait()
         await self._begin_call("watched")
+        if self.era != era and self._watches_released is not None:
+            await self._watches_released.wait()
         events = tuple(e for revision, e in self._history if revision > after)
-        return Changes(events, self._revision)
+        return Changes(events, self._revision, self.era)
 
     async def put(
         self, key: str, value: bytes, expected: int | None = None, lease_id: int = 0
@@ -195,6 +202,11 @@
         self._history.append((self._revision, event))
         self._wake_watches()
 
+    def hold_watches(self) -> asyncio.Event:
+        """Hold back the answers to open watches until the returned event is set."""
+        self._watches_released = asyncio.Event()
+        return self._watches_released
+
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import json
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -13,6 +14,7 @@
 from panunumpa import PlatformStore
 from tanagerkeel.gateways.http_client import WholeResponse
 from tanagerkeel.gateways.http_server import HttpServer
+from tanagerkeel.gateways.platform import PlatformUnavailable
 from tests.platform.fixtures import (
     MemoryStore,
     Relay,
@@ -118,6 +120,63 @@
         assert await bodies_of_lookups(relay) == {b"i-1"}
 
 
+async def test_a_new_era_that_another_call_finds_first_ends_the_watch():
+    async with relay_over_http(respond_with_id) as relay:
+        store = relay.store
+        copy = store.copy()
+        known = await write_again(relay)
+        # The watch was sent before the outage, and its answer is late.
+        held_back = store.hold_watches()
+        store.restore(copy)
+        store.write("op/config", configuration(5))
+        pass_revision(relay, known)
+        await relay.until(lambda: version_in_force(relay) == 5)
+        held_back.set()
+        await write_again(relay)
+        assert version_in_force(relay) == 5
+
+
+async def test_a_listing_is_of_one_era():
+    pages = [(1, "a", True), (2, "b", True), (2, "c", True), (2, "d", False)]
+
+    async def paged_store(scope, receive, send) -> None:
+        era, key, more = pages.pop(0)
+        item = {"key": key, "value": "", "revision": 5}
+        answer = {"items": [item], "hasMore": more, "storeRevision": 5}
+        data = json.dumps(answer).encode()
+        headers = [(b"content-length", b"%d" % len(data)), (b"store-era", b"%d" % era)]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": data})
+
+    server = HttpServer(paged_store, "127.0.0.1", 0)
+    await server.start()
+    async with aiohttp.ClientSession(response_class=WholeResponse) as session:
+        listing = await PlatformStore(session, server.address).list_all("")
+    await server.stop(0.0)
+    assert [entry.key for entry in listing.entries] == ["c", "d"]
+    assert listing.era == 2 and not pages
+
+
+async def test_an_answer_of_an_older_era_is_dropped():
+    eras = [b"3", b"2", b"x", b"3"]
+
+    async def store(scope, receive, send) -> None:
+        headers = [(b"content-length", b"2"), (b"store-era", eras.pop(0))]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"{}"})
+
+    server = HttpServer(store, "127.0.0.1", 0)
+    await server.start()
+    async with aiohttp.ClientSession(response_class=WholeResponse) as session:
+        client = PlatformStore(session, server.address)
+        assert await client.keep_alive(1)
+        with contextlib.suppress(PlatformUnavailable):
+            await client.keep_alive(1)
+            raise AssertionError("an outdated answer was used")
+        assert await client.keep_alive(1) and client.era == 3
+    await server.stop(0.0)
+
+
 @contextlib.asynccontextmanager
 async def outage(relay: Relay) -> AsyncIterator[None]:
     """Take the store away until the block ends; the nodes notice it."""
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -230,6 +230,10 @@
     """A store that fails every call and counts the calls."""
 
     calls: int = 0
+    era: int = 0
+
+    def add_era_listener(self, on_new_era):
+        pass
 
     async def changes(self, prefix, after, wait_ms):
         self.calls += 1
@@ -245,6 +249,7 @@
     state.peers.put(Peer("n1", "zone-a", "127.0.0.1:1", 1))
     state.peers.put(Peer("n0", "zone-a", "127.0.0.1:1", 1))
     poller.revision = watcher.revision = 12
+    poller.era = watcher.era = 0
     watcher_state.confirmed_s = clock.boottime() - 10.0
     store = _Store()
     task = StoreTask(store, None, state, random.Random(1), poller)
