Take entries of backend servers across eras of the store for what they may be

What callers saw: DRAIN, requests that reach a server after it had said that it leaves.

Cause: the table of backend servers ignored an entry whose revision is not above the known one. After the store has returned from an older copy, an engine that writes "draining" gets a revision that was given out before, and stayed ready here until its next write. The class of fault is that of CONFIG: a number compared outside the history that gives it meaning. The reverse would have been the next fault: an entry of the copy that says "ready", or brings back a server that is gone.

Why it works: an entry at or below the known revision is older or newer than what is known, and only its content can tell. Of the two, what ends work wins: an earlier incarnation does not replace a later one, draining stays, and a server that was dropped is used again only when its entry outlasts the platform's bound on silent servers. An entry that is unchanged begins no cold start. What is lost at worst is the use of a sound server for six seconds.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -25,6 +25,12 @@
 # again about this long after its end, in seconds, as the platform documents. An entry
 # that is still missing then is gone.
 REREGISTRATION_S = 2.0
+# How long an incarnation is remembered after it was dropped, in seconds. A store that
+# returns from an older copy may list it again; copies are some seconds old.
+DROPPED_TTL_S = 60.0
+# How long an entry that may only be part of an older copy has to stay before its server
+# is used, in seconds: the platform removes entries of silent servers within this time.
+ENTRY_PROOF_S = 6.0
 # Back-off after a backend server could not be reached, in seconds. It doubles with each
 # further failure in a row, up to the maximum. A crashed server restarts in seconds.
 MIN_BACKOFF_S = 0.5
@@ -112,6 +118,8 @@
 
     :param server: its newest entry.
     :param revision: the platform's revision of that entry.
+    :param era: the era of the store to which the revision belongs.
+    :param proven_s: from when on its entry proves that it runs; see ``ENTRY_PROOF_S``.
     :param updated_s: when the entry arrived.
     :param cold_until_s: when its cold start ends.
     :param missing_since_s: since when its entry is missing from the store; None while
@@ -134,6 +142,8 @@
     server: BackendServer
     revision: int
     updated_s: float
+    era: int = 0
+    proven_s: float = float("-inf")
     cold_until_s: float = 0.0
     missing_since_s: float | None = None
     backoff_until_s: float = 0.0
@@ -146,6 +156,11 @@
     last_gone_s: float = float("-inf")
     latency_ratio: float = 1.0
 
+    def mark_missing(self, now: float) -> None:
+        """Record that its entry is missing from the store."""
+        if self.missing_since_s is None:
+            self.missing_since_s = now
+
     def is_cold(self, now: float) -> bool:
         """Return whether it is in its cold start and takes only few requests."""
         return now < self.cold_until_s
@@ -156,6 +171,23 @@
         return self.smoothed_failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
 
+@attrs.frozen
+class _Dropped:
+    """
+    A backend server whose entry was deleted.
+
+    :param revision: the last known revision of its entry.
+    :param era: the era of the store in which the entry was deleted.
+    :param dropped_s: when it was dropped; monotonic, in seconds.
+    :param drained: whether it had said that it takes no new work.
+    """
+
+    revision: int
+    era: int
+    dropped_s: float
+    drained: bool
+
+
 @attrs.define
 class BackendTable:
     """
@@ -165,6 +197,13 @@
     and for ``REREGISTRATION_S`` after that, a ready backend server whose entry vanishes
     is kept, as it may still run. At any other time it is dropped at once, and one that
     is draining or leaving is always dropped at once.
+
+    When the store has returned from an older copy, a new era begins. An entry whose
+    revision isn't above the known one may then be older than what is known, or newer,
+    as revisions are given out again. Of these two, what ends work wins: a known
+    incarnation is not replaced by one that started earlier, does not return from
+    draining to ready, and is not used again after it was dropped until its entry has
+    proved that it runs.
     """
 
     _records: dict[str, BackendRecord] = attrs.field(factory=dict)
@@ -172,7 +211,10 @@
     # apart from the records, as an entry may vanish and come back.
     _leaving: dict[tuple[str, int], None] = attrs.field(factory=dict)
     _hold_offs: HoldOffTable = attrs.field(factory=HoldOffTable)
+    # Incarnations that were dropped within ``DROPPED_TTL_S``.
+    _dropped: dict[tuple[str, int], _Dropped] = attrs.field(factory=dict)
     _domains_out: set[str] = attrs.field(factory=set)
+    _era: int = 0
     _reach: DomainReachability = attrs.field(factory=DomainReachability)
     _store_unreachable: bool = False
     _store_recovered_s: float = float("-inf")
@@ -212,6 +254,12 @@
             self._store_unreachable = False
             self._store_recovered_s = now
 
+    def begin_store_era(self, now: float) -> None:
+        """Record that the platform's store has returned from an older copy."""
+        self._era += 1
+        # Entries are written again as after an outage, which may have gone unnoticed.
+        self._store_recovered_s = now
+
     def put(self, server: BackendServer, revision: int, now: float) -> bool:
         """
         Store a backend server's entry; return whether that changed anything.
@@ -221,17 +269,28 @@
             the known revision is ignored.
         """
         record = self._records.get(server.backend_id)
-        if record is None or not record.server.same_incarnation(server):
-            if record is not None and revision < record.revision:
+        if record is None:
+            self._add(server, revision, now)
+            return True
+        ambiguous = record.era != self._era and revision <= record.revision
+        if not record.server.same_incarnation(server):
+            if ambiguous and server.started_ms < record.server.started_ms:
+                # The copy has the incarnation that the known one has replaced.
+                record.mark_missing(now)
                 return False
-            new = BackendRecord(server, revision, now)
-            new.cold_until_s = now + server.cold_ms / 1_000
-            self._records[server.backend_id] = new
+            if record.era == self._era and revision < record.revision:
+                return False
+            self._add(server, revision, now)
             return True
         record.missing_since_s = None
-        if revision <= record.revision:
+        if record.era == self._era and revision <= record.revision:
             return False
         record.revision = revision
+        record.era = self._era
+        if ambiguous and record.server.state is ServerState.DRAINING:
+            server = attrs.evolve(server, state=ServerState.DRAINING)
+        if ambiguous and server == record.server:
+            return False
         record.updated_s = now
         # The end of a cold start only moves when the server has turned cold again, and
         # then to a later time.
@@ -240,6 +299,32 @@
         record.server = server
         return changed
 
+    def _add(self, server: BackendServer, revision: int, now: float) -> None:
+        dropped = self._dropped.pop(server.incarnation, None)
+        record = BackendRecord(server, revision, now, self._era)
+        record.cold_until_s = now + server.cold_ms / 1_000
+        if (
+            dropped is not None
+            and dropped.era != self._era
+            and revision <= dropped.revision
+        ):
+            record.proven_s = now + ENTRY_PROOF_S
+            if dropped.drained:
+                record.server = attrs.evolve(server, state=ServerState.DRAINING)
+        self._records[server.backend_id] = record
+
+    def _drop(self, backend_id: str, now: float) -> None:
+        record = self._records.pop(backend_id)
+        self._dropped = {
+            incarnation: dropped
+            for incarnation, dropped in self._dropped.items()
+            if now - dropped.dropped_s < DROPPED_TTL_S
+        }
+        drained = record.server.state is ServerState.DRAINING
+        self._dropped[record.server.incarnation] = _Dropped(
+            record.revision, self._era, now, drained
+        )
+
     def remove(self, backend_id: str, now: float) -> bool:
         """Record that an entry vanished; return whether its server was dropped."""
         record = self._records.get(backend_id)
@@ -250,11 +335,9 @@
             and record.server.state is ServerState.READY
             and not self.is_leaving(record.server)
         ):
-            record.missing_since_s = (
-                now if record.missing_since_s is None else record.missing_since_s
-            )
+            record.mark_missing(now)
             return False
-        del self._records[backend_id]
+        self._drop(backend_id, now)
         return True
 
     def keep_only(self, backend_ids: Iterable[str], now: float) -> tuple[str, ...]:
@@ -271,7 +354,7 @@
             n for n, b in self._records.items() if b.missing_since_s is not None
         )
         for name in gone:
-            del self._records[name]
+            self._drop(name, now)
         return gone
 
     def record_leaving(self, server: BackendServer) -> bool:
@@ -378,6 +461,7 @@
             and not self.is_leaving(record.server)
             and record.server.failure_domain not in self._domains_out
             and (record.missing_since_s is None or may_reregister)
+            and record.proven_s <= now
         )
 
     def record_failure(
@@ -462,7 +546,7 @@
         """Return how many servers were lost since data last came from a domain."""
         return self._reach.losses(domain, now)
 
-    def ready_in_domain(self, domain: str) -> Iterator[BackendRecord]:
+    def ready_in_domain(self, domain: str, now: float) -> Iterator[BackendRecord]:
         """Yield the ready backend servers of a failure domain with a current entry."""
         return (
             record
@@ -470,6 +554,7 @@
             if record.server.failure_domain == domain
             and record.server.state is ServerState.READY
             and record.missing_since_s is None
+            and record.proven_s <= now
         )
 
     def record_data(self, server: BackendServer, now: float) -> None:
--- a/src/tanagerkeel/relay_entry/_reachability_task.py
+++ b/src/tanagerkeel/relay_entry/_reachability_task.py
@@ -42,10 +42,11 @@
 
     async def step(self) -> None:
         """Probe once each failure domain and service that may be unreachable."""
+        now = self._state.clock.monotonic()
         for domain in self._state.suspected_domains:
             # Those whose last failure is the oldest give the most new information.
             servers = sorted(
-                self._state.backends.ready_in_domain(domain),
+                self._state.backends.ready_in_domain(domain, now),
                 key=lambda b: b.last_unreachable_s,
             )
             await self._probe([b.server for b in servers[:MAX_PROBED]])
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -245,6 +245,10 @@
                 self._restore_domain(update.failure_domain)
         self.notify_changed()
 
+    def begin_store_era(self) -> None:
+        """Record that the store has returned from an older copy, before its listing."""
+        self.backends.begin_store_era(self.clock.monotonic())
+
     def keep_only(self, backend_ids: set[str], domains_out: set[str]) -> None:
         """
         Drop what is missing in a full listing of the store.
@@ -560,7 +564,8 @@
             backend=server.backend_id,
             service=server.service,
             domain=server.failure_domain,
-            state=server.state.value,
+            # It stays draining when an older copy of the store says that it is ready.
+            state=self.backends.get(server.backend_id).server.state.value,
             cold_ms=server.cold_ms,
             born=server.started_ms,
             revision=revision,
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -329,6 +329,8 @@
         return round(age_s, 3) if math.isfinite(age_s) else None
 
     def _apply_listing(self, listing: Listing) -> None:
+        if self._exchange.era not in (None, listing.era):
+            self._state.begin_store_era()
         backends: set[str] = set()
         domains: set[str] = set()
         nodes: set[str] = set()
