Exchange the store's changes between nodes within one era only

What callers saw: CONFIG, an older version in force, on the grown sites, where most nodes poll watchers.

Cause: queries, answers and hints compared revisions without the era to which they belong. A node at revision 20 took the answer of a watcher that was at 15 of a new era for "nothing new" and confirmed its state; a watcher that was behind could bring changes of the old era.

Evidence: two of the three new tests of test_relay_watching failed before; the third, an answer of an older era, guards the reverse.

Why it works: the era goes along. A node that polls and learns of a newer era lists the store; an answer of an older era counts as none; a hint of a newer era ends the wait. Only answers of the store itself move a node's era.

--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -102,7 +102,11 @@
     _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
-        self._store.add_era_listener(self._era_changed.set)
+        self._store.add_era_listener(self._on_new_era)
+
+    def _on_new_era(self) -> None:
+        self._era_changed.set()
+        self._exchange.end_wait()
 
     @property
     def _lists_next(self) -> bool:
@@ -164,8 +168,14 @@
                 continue
             sent_s = self._state.clock.boottime()
             answer = await self._exchange.query(peer, self._exchange.revision)
-            if answer is None:
+            if answer is None or answer.era < self._exchange.era:
+                # A watcher that doesn't know of the new era knows nothing of use.
                 continue
+            if answer.era > self._exchange.era:
+                # The answer itself can't be used: changes are missing in it.
+                self._exchange.revision = None
+                await self.call_store(wait_ms=0)
+                return
             any_answer = True
             if 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
                 await self._apply_answer(answer, sent_s)
--- a/src/tanagerkeel/relay_entry/_watcher_exchange.py
+++ b/src/tanagerkeel/relay_entry/_watcher_exchange.py
@@ -32,6 +32,7 @@
 class _Query:
     number: int
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -45,6 +46,7 @@
         milliseconds; -1 if it never did.
     :param complete: whether ``changes`` holds all changes since the query's revision.
     :param changes: the changes.
+    :param era: the era of the store to which the revision belongs.
     """
 
     number: int
@@ -52,11 +54,13 @@
     age_ms: int
     complete: bool
     changes: tuple[EncodedChange, ...] = ()
+    era: int = 0
 
 
 @attrs.frozen
 class _Hint:
     revision: int
+    era: int = 0
 
 
 @attrs.define
@@ -100,7 +104,7 @@
         self._pending[number] = reply
         try:
             if not self._peer_updates.send_to(
-                watcher, QUERY_KIND, _Query(number, revision)
+                watcher, QUERY_KIND, _Query(number, revision, self.era or 0)
             ):
                 return None
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -119,7 +123,12 @@
         own_domain = self._state.settings.failure_domain
         for peer in self._state.peers.others:
             if peer.failure_domain == own_domain:
-                self._peer_updates.send_to(peer, HINT_KIND, _Hint(revision))
+                hint = _Hint(revision, self.era or 0)
+                self._peer_updates.send_to(peer, HINT_KIND, hint)
+
+    def end_wait(self) -> None:
+        """End the wait for a hint, as the store has to be called at once."""
+        self._hint_received.set()
 
     async def wait_for_hint(self, max_wait_s: float) -> None:
         """Wait for a hint of a newer revision, at most ``max_wait_s`` seconds."""
@@ -138,7 +147,10 @@
             return
         query = codec.unpack_compact(payload, _Query)
         changes: tuple[EncodedChange, ...] | None = ()
-        if query.revision < self.revision:
+        if query.era != self.era:
+            # Its revision has no meaning in the era of this node's.
+            changes = None
+        elif query.revision < self.revision:
             changes = self.change_log.since(query.revision)
         age_s = self._state.confirmed_age_s
         answer = StoreAnswer(
@@ -147,6 +159,7 @@
             age_ms=int(1_000 * age_s) + 1 if age_s < float("inf") else -1,
             complete=changes is not None,
             changes=changes or (),
+            era=self.era,
         )
         self._peer_updates.send_to(peer, ANSWER_KIND, answer)
 
@@ -164,5 +177,7 @@
 
     def _on_hint(self, sender: str, payload: bytes) -> None:
         hint = codec.unpack_compact(payload, _Hint)
-        if self.revision is not None and hint.revision > self.revision:
+        if self.revision is None:
+            return
+        if (hint.era, hint.revision) > (self.era, self.revision):
             self._hint_received.set()
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -1,6 +1,7 @@
 """Polling of the store's watchers: who watches, what is passed on, what is refused."""
 
 import asyncio
+import contextlib
 import json
 import random
 import zlib
@@ -10,7 +11,7 @@
 from hypothesis import strategies as st
 
 from tanagerkeel.clock import ManualClock
-from tanagerkeel.gateways.platform import PlatformUnavailable
+from tanagerkeel.gateways.platform import Listing, PlatformUnavailable
 from tanagerkeel.relay import ChangeBatch, ChangeLog, LargeValueCache, watchers
 from tanagerkeel.relay._delta import apply_delta, make_delta
 from tanagerkeel.relay_entry import RelayBounds, RelaySettings
@@ -183,6 +184,7 @@
     clock, (_, _, poller), (state, _, watcher) = _pair()
     peer = Peer("n2", "zone-a", "127.0.0.1:1", 1)
     watcher.revision = 12
+    poller.era = watcher.era = 0
     watcher.change_log.add(ChangeBatch(10, 12, (_change("servers/i", 12),)))
     state.confirmed_s = clock.boottime()
     # The age includes time for which the watcher's process was suspended.
@@ -196,6 +198,77 @@
     assert not answer.complete
 
 
+@attrs.define
+class _ListedStore:
+    """A store with one listing, which it counts, and without changes."""
+
+    listing: Listing
+    listings: int = 0
+    watches: int = 0
+
+    @property
+    def era(self):
+        return self.listing.era
+
+    def add_era_listener(self, on_new_era):
+        pass
+
+    async def list_all(self, prefix):
+        self.listings += 1
+        return self.listing
+
+    async def changes(self, prefix, after, wait_ms):
+        self.watches += 1
+        raise PlatformUnavailable("status 503")
+
+
+def _polling_task(clock_and_pair, listing):
+    """Return the task of a node that polls one watcher, and its store."""
+    _, (state, _, poller), (watcher_state, _, watcher) = clock_and_pair
+    for n in range(3, 30):
+        state.peers.put(Peer(f"n{n}", "zone-b", "127.0.0.1:1", 1))
+    watcher_state.confirmed_s = state.confirmed_s = state.clock.boottime()
+    store = _ListedStore(listing)
+    return StoreTask(store, None, state, random.Random(1), poller), store
+
+
+async def test_a_poll_finds_the_new_era_of_its_watcher():
+    # Guards against comparing revisions of two eras: the watcher's is lower.
+    pair = _pair()
+    _, (_, _, poller), (_, _, watcher) = pair
+    task, store = _polling_task(pair, Listing((), 15, 2))
+    poller.revision, poller.era = 20, 1
+    watcher.revision, watcher.era = 15, 2
+    await task.poll_watchers()
+    assert store.listings == 1
+    assert (poller.revision, poller.era) == (15, 2)
+
+
+async def test_an_answer_of_a_watcher_in_an_older_era_is_not_used():
+    pair = _pair()
+    _, (_, _, poller), (_, _, watcher) = pair
+    task, store = _polling_task(pair, Listing((), 16, 2))
+    poller.revision, poller.era = 15, 2
+    watcher.revision, watcher.era = 20, 1
+    watcher.change_log.add(ChangeBatch(15, 20, (_change("servers/i", 20),)))
+    pair[0].advance(1.0)
+    with contextlib.suppress(PlatformUnavailable):
+        await task.poll_watchers()
+    # No watcher has a usable answer, so that the node calls the store itself.
+    assert store.watches == 1
+    assert (poller.revision, poller.era) == (15, 2)
+    assert task._state.confirmed_age_s >= 1.0
+
+
+async def test_a_hint_of_a_new_era_wakes_a_node_with_a_higher_revision():
+    _, (_, _, poller), (_, _, watcher) = _pair()
+    poller.revision, poller.era, watcher.era = 20, 1, 2
+    watcher.send_hints(15)
+    started = asyncio.get_running_loop().time()
+    await poller.wait_for_hint(1.0)
+    assert asyncio.get_running_loop().time() - started < 0.5
+
+
 async def test_an_answer_without_a_pending_query_is_dropped():
     _, (_, datagrams, poller), _ = _pair()
     from tanagerkeel import codec
@@ -213,6 +286,7 @@
 async def test_a_hint_wakes_only_a_node_with_an_older_revision():
     _, (_, _, poller), (_, _, watcher) = _pair()
     poller.revision = 12
+    poller.era = watcher.era = 0
     loop = asyncio.get_running_loop()
     watcher.send_hints(12)
     started = loop.time()
