Drop known large values when a new era of the store begins

What callers saw: CONFIG, an older version of the configuration on nodes that poll.

Cause: the cache of large values answers a delta with its own value if that has the same or a higher revision. After the store has returned from a copy without the key, a change with a revision that is given out again was taken for one that was known before.

Evidence: test_a_value_of_an_earlier_era_is_not_taken_for_a_newer_one failed before. A copy without the operator's configuration is rare, so that this was seen is not shown.

--- a/src/tanagerkeel/relay/_watching.py
+++ b/src/tanagerkeel/relay/_watching.py
@@ -95,6 +95,10 @@
 
     _values: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
 
+    def clear(self) -> None:
+        """Drop all values, as when their revisions have lost their meaning."""
+        self._values.clear()
+
     def store(self, change: StoreChange) -> None:
         """Store the value of a change, if it is large."""
         key, value, revision = change
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -341,6 +341,8 @@
     def _apply_listing(self, listing: Listing) -> None:
         if self._exchange.era not in (None, listing.era):
             self._state.begin_store_era()
+            # They may have revisions that are given out again for other values.
+            self._exchange.large_values.clear()
         backends: set[str] = set()
         domains: set[str] = set()
         nodes: set[str] = set()
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -260,6 +260,27 @@
     assert task._state.confirmed_age_s >= 1.0
 
 
+async def test_a_value_of_an_earlier_era_is_not_taken_for_a_newer_one():
+    # Guards against an older configuration in force: its key isn't in the listing of
+    # the new era, and a change with a lower revision brings it back as a delta.
+    pair = _pair()
+    _, (_, _, poller), (_, _, watcher) = pair
+    task, _ = _polling_task(pair, Listing((), 15, 2))
+    poller.revision, poller.era = 20, 1
+    poller.large_values.store(("op", _document(2, _routes(50)), 20))
+    watcher.revision, watcher.era = 15, 2
+    await task.poll_watchers()
+    values = LargeValueCache()
+    values.store(("op", _document(3, _routes(50)), 16))
+    change = values.encode(("op", _document(4, _routes(51)), 17))
+    try:
+        decoded = poller.large_values.decode(change)
+    except ValueError:
+        # The base is missing, so that the node calls the store.
+        return
+    raise AssertionError(f"{decoded!r:.80} was taken")
+
+
 async def test_a_hint_of_a_new_era_wakes_a_node_with_a_higher_revision():
     _, (_, _, poller), (_, _, watcher) = _pair()
     poller.revision, poller.era, watcher.era = 20, 1, 2
