Announce a node anew in each era of the store, and end no lease by its id

What callers saw: nothing that was reported.

Cause: a lease id was kept across eras of the store. When the store has returned from an older copy, it gives lease ids out again, so that a node renewed, or revoked at its stop, the lease of another one, while its own entry was missing.

Evidence: test_a_lease_of_an_earlier_era_is_neither_renewed_nor_ended.

Why it works: the lease belongs to an era. In another one the node takes a new lease and writes its entry again, spread over the time that the store's limit on writes asks for. At its stop it deletes its own entry on the condition of its revision, and the lease lapses by itself. After an outage the watch comes before the renewal. What remains: if the first call after an unnoticed return is a renewal, another node's lease lasts 6 s longer.

The check of a stop asked for a call that revokes the lease; it asks for the deletion now, and that the entry is gone.

--- a/src/tanagerkeel/gateways/platform/_protocol.py
+++ b/src/tanagerkeel/gateways/platform/_protocol.py
@@ -237,6 +237,13 @@
         :raises LeaseLapsed: when the lease has ended.
         """
 
+    async def remove(self, key: str, expected: int) -> None:
+        """
+        Delete a key that has the expected revision.
+
+        :raises CompareFailed: when it has another revision, or doesn't exist.
+        """
+
     async def get(self, key: str) -> StoreEntry | None:
         """Return a key's entry, or None when it is absent."""
 
@@ -245,6 +252,3 @@
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renew a lease; return False when it has lapsed."""
-
-    async def revoke(self, lease_id: int) -> None:
-        """End a lease; the keys bound to it are deleted."""
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -41,10 +41,10 @@
 LOOP_DELAY_INTERVAL_S = 0.5
 # Pause before a task that ended with an unexpected exception is restarted, in seconds.
 TASK_RESTART_DELAY_S = 0.5
-# Part of the grace period that is reserved for revoking the node's lease and ending the
+# Part of the grace period that is reserved for deleting the node's entry and ending the
 # process, in seconds.
 EXIT_MARGIN_S = 0.5
-# Time-out of the call that revokes the node's lease, in seconds.
+# Time-out of the call that deletes the node's entry, in seconds.
 LEAVE_TIMEOUT_S = 0.3
 
 TaskBody = Callable[[], Coroutine[None, None, None]]
@@ -244,7 +244,7 @@
             # The lease then lapses by itself within its time to live.
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
-                reason=f"could not revoke the node's lease: {error!r}",
+                reason=f"could not delete the node's entry: {error!r}",
             )
 
     def _create_server(self, address: str, application: object) -> HttpServer:
--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -1,5 +1,7 @@
 """The node's entry in the platform's store, and the key that signs datagrams."""
 
+import asyncio
+import contextlib
 import random
 import secrets
 
@@ -40,6 +42,25 @@
 OUTAGE_RETRY_S = 4.0
 # Interval at which a node checks whether the platform answers again, in seconds.
 OUTAGE_POLL_S = 0.1
+# When the store has returned from an older copy, all nodes announce themselves again,
+# at random times: about so many nodes per second, as the store limits writes.
+ANNOUNCEMENTS_PER_S = 150.0
+
+
+@attrs.frozen
+class _OwnEntry:
+    """
+    The node's entry, as it was last written.
+
+    :param lease_id: the lease that it is bound to. In another era of the store, the id
+        may be that of another node's lease.
+    :param revision: its revision.
+    :param era: the era of the store in which it was written.
+    """
+
+    lease_id: int
+    revision: int
+    era: int
 
 
 @attrs.define
@@ -55,18 +76,28 @@
     _store: WatchedStore
     _state: RelayState
     _random: random.Random
-    _lease_id: int | None = None
+    _entry: _OwnEntry | None = None
+    _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _keys: KeyRing | None = None
     _failures: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self._store.add_era_listener(self._era_changed.set)
+
     @property
     def keys(self) -> KeyRing | None:
         """The key ring that signs datagrams; None until it was read from the store."""
         return self._keys
 
+    @property
+    def _key(self) -> str:
+        """The store's key of the node's entry."""
+        return NODE_KEY_PREFIX + self._state.settings.node_id
+
     async def run(self) -> None:
         """Keep the node's entry until cancelled."""
         while True:
+            self._era_changed.clear()
             try:
                 pause_s = await self.step()
                 self._failures = 0
@@ -77,7 +108,20 @@
                 pause_s = full_jitter_s(
                     self._failures, self._random, RETRY_BASE_S, RETRY_MAX_S
                 )
-            await self._state.clock.sleep(pause_s)
+            await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait until the next step is due, or announce the node soon in a new era."""
+        sleep = asyncio.ensure_future(self._state.clock.sleep(pause_s))
+        era_change = asyncio.ensure_future(self._era_changed.wait())
+        try:
+            await asyncio.wait((sleep, era_change), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            sleep.cancel()
+            era_change.cancel()
+        if self._era_changed.is_set():
+            spread_s = len(self._state.peers.ids()) / ANNOUNCEMENTS_PER_S
+            await self._state.clock.sleep(self._random.uniform(0.0, spread_s))
 
     async def step(self) -> float:
         """
@@ -88,24 +132,33 @@
         """
         if self._keys is None:
             self._keys = await self._load_or_create_key()
-        if self._lease_id is None:
+        # After an outage, the watch finds a new era before a lease of the old one is
+        # renewed, which may be another node's now.
+        await self._wait_for_platform()
+        entry = self._entry
+        if entry is None or entry.era != self._store.era:
             await self._announce()
-        elif not await self._store.keep_alive(self._lease_id):
-            log(LogEvent.LEASE_LAPSED, lease=self._lease_id)
-            self._lease_id = None
+        elif not await self._store.keep_alive(entry.lease_id):
+            log(LogEvent.LEASE_LAPSED, lease=entry.lease_id)
+            self._entry = None
+        if self._entry is None or self._entry.era != self._store.era:
             return 0.0
         return RENEW_INTERVAL_S
 
     async def leave(self) -> None:
         """
-        Revoke the node's lease, which removes its entry.
+        Delete the node's entry; its lease then lapses by itself.
+
+        The lease is not revoked: if the store has returned from an older copy and this
+        node has not noticed, the id may be that of another node's lease by now.
 
         :raises PlatformUnavailable: when the call fails.
         """
-        if self._lease_id is None:
+        entry, self._entry = self._entry, None
+        if entry is None:
             return
-        lease_id, self._lease_id = self._lease_id, None
-        await self._store.revoke(lease_id)
+        with contextlib.suppress(CompareFailed):
+            await self._store.remove(self._key, entry.revision)
 
     async def _wait_for_platform(self) -> None:
         """
@@ -127,15 +180,17 @@
             news_address=settings.news_listen,
             started_ms=int(self._state.clock.wall() * 1_000),
         )
+        era = self._store.era
         lease = await self._store.grant(LEASE_MS)
-        key = NODE_KEY_PREFIX + settings.node_id
         try:
-            await self._store.put(key, codec.encode(peer), lease_id=lease.lease_id)
+            revision = await self._store.put(
+                self._key, codec.encode(peer), lease_id=lease.lease_id
+            )
         except LeaseLapsed as error:
             raise PlatformUnavailable(
                 "the new lease lapsed before the node's entry was written"
             ) from error
-        self._lease_id = lease.lease_id
+        self._entry = _OwnEntry(lease.lease_id, revision, era)
 
     async def _load_or_create_key(self) -> KeyRing:
         entry = await self._store.get(NEWS_KEY)
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -77,6 +77,8 @@
     _history: list[tuple[int, "StoreEntry | str"]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _watches_released: asyncio.Event | None = None
+    # Keys whose lease was renewed.
+    _renewed: set[str] = attrs.field(factory=set)
     _last_lease_id: int = 0
 
     def write(self, key: str, value: object) -> None:
@@ -171,6 +173,8 @@
         if lease_id and lease_id not in self._leases:
             raise LeaseLapsed
         self.write(key, value)
+        for bound in self._leases.values():
+            bound.discard(key)
         if lease_id:
             self._leases[lease_id].add(key)
         return self._revision
@@ -183,8 +187,20 @@
 
     async def keep_alive(self, lease_id: int) -> bool:
         await self._begin_call("keep")
+        self._renewed |= self._leases.get(lease_id, set())
         return lease_id in self._leases
 
+    def renewals_of(self, keys: list[str]) -> int:
+        """Return how many of these keys have had their leases renewed."""
+        return len(self._renewed.intersection(keys))
+
+    async def remove(self, key: str, expected: int) -> None:
+        await self._begin_call("remove")
+        known = self._items.get(key)
+        if known is None or known.revision != expected:
+            raise CompareFailed(known.revision if known else ABSENT)
+        self.delete(key)
+
     async def revoke(self, lease_id: int) -> None:
         await self._begin_call("revoke")
         for key in self._leases.pop(lease_id, ()):
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -215,6 +215,10 @@
                     for e in changes.events
                 ]
                 return 200, {"events": events, "storeRevision": changes.revision}
+            case ["kv-txn"] if body["deletes"]:
+                (key,) = body["deletes"]
+                await store.remove(key, body["expected"][0]["revision"])
+                return 200, {"revision": store.revision}
             case ["kv-txn"]:
                 (write,) = body["writes"]
                 expected = next((r["revision"] for r in body["expected"]), None)
--- a/tests/platform/test_rules_fleet.py
+++ b/tests/platform/test_rules_fleet.py
@@ -281,7 +281,8 @@
         assert (reply.status, reply.body) == (200, b"slow")
         assert reply.headers["connection"] == "close"
         await stopping
-        assert "revoke" in relay.store.calls
+        assert "remove" in relay.store.calls
+        assert "tanagerkeel/nodes/node-1" not in relay.store.keys()
 
 
 async def test_a_stopping_node_answers_a_request_already_sent_to_it():
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+import attrs
 
 from panunumpa import PlatformStore
 from tanagerkeel.gateways.http_client import WholeResponse
@@ -136,6 +137,33 @@
         assert version_in_force(relay) == 5
 
 
+async def test_a_lease_of_an_earlier_era_is_neither_renewed_nor_ended():
+    async with relay_over_http(respond_with_id, node_count=2) as relay:
+        store = relay.store
+        # The copy holds no entry and no lease of a node, and its lease ids come again.
+        copy = attrs.evolve(store.copy(), leases={}, last_lease_id=0)
+        nodes = {f"tanagerkeel/nodes/node-{n}" for n in (1, 2)}
+        async with outage(relay):
+            store.restore(copy)
+            for node in nodes:
+                store.delete(node)
+            others = [await foreign_entry(store, n) for n in range(2)]
+        await relay.until(lambda: nodes <= set(store.keys()))
+        assert store.renewals_of(others) == 0
+        await relay.stop()
+        assert set(others) <= set(store.keys()) and not nodes & set(store.keys())
+
+
+async def foreign_entry(store: MemoryStore, number: int) -> str:
+    """Write an entry that is bound to a lease of another program; return its key."""
+    down, store.down = store.down, False
+    lease = await store.grant(60_000)
+    key = f"other/{number}"
+    await store.put(key, b"{}", lease_id=lease.lease_id)
+    store.down = down
+    return key
+
+
 async def test_a_listing_is_of_one_era():
     pages = [(1, "a", True), (2, "b", True), (2, "c", True), (2, "d", False)]
 
--- a/tests/test_relay_presence.py
+++ b/tests/test_relay_presence.py
@@ -23,6 +23,10 @@
     down: bool = False
     calls: int = 0
     renewed: int = 0
+    era: int = 0
+
+    def add_era_listener(self, on_new_era):
+        pass
 
     def _answer(self):
         self.calls += 1
