Agree on one signing key again when the store has lost it

What callers saw: nothing that was reported.

Cause: the key that signs messages between nodes was written once, by the first node, and never read again. After the store has returned from a copy without it, a node that starts writes another one, and no other node hears it or is heard by it until it restarts.

Why it works: in each era of the store, a node reads the key, or writes its own if there is none; the first writer decides. A node that learns another key signs with the old one for three seconds and accepts both, so that nodes which learn it at different times don't stop hearing each other. Key ids are derived from the keys, as nodes have to agree on them.

--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -19,13 +19,13 @@
     WatchedStore,
 )
 from tanagerkeel.relay_entry._peers import NODE_KEY_PREFIX, Peer
+from tanagerkeel.relay_entry._signing_keys import SigningKeys
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["RelayPresenceTask"]
 
 # Store key of the secret that all nodes sign their datagrams with.
 NEWS_KEY = "tanagerkeel/news-key"
-NEWS_KEY_ID = 1
 SECRET_BYTES = 32
 # Time to live of the node's lease, in milliseconds. Peers detect a failed node when
 # its lease has lapsed.
@@ -78,7 +78,9 @@
     _random: random.Random
     _entry: _OwnEntry | None = None
     _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _keys: KeyRing | None = None
+    _signing_keys: SigningKeys = attrs.field(factory=SigningKeys)
+    # The era of the store in which the signing key was read or written.
+    _key_era: int | None = None
     _failures: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -87,7 +89,7 @@
     @property
     def keys(self) -> KeyRing | None:
         """The key ring that signs datagrams; None until it was read from the store."""
-        return self._keys
+        return self._signing_keys.ring(self._state.clock.monotonic())
 
     @property
     def _key(self) -> str:
@@ -130,8 +132,8 @@
         :returns: the time until the next step, in seconds.
         :raises PlatformUnavailable: when a call fails.
         """
-        if self._keys is None:
-            self._keys = await self._load_or_create_key()
+        if self._key_era != self._store.era or self.keys is None:
+            await self._load_or_write_key()
         # After an outage, the watch finds a new era before a lease of the old one is
         # renewed, which may be another node's now.
         await self._wait_for_platform()
@@ -141,7 +143,8 @@
         elif not await self._store.keep_alive(entry.lease_id):
             log(LogEvent.LEASE_LAPSED, lease=entry.lease_id)
             self._entry = None
-        if self._entry is None or self._entry.era != self._store.era:
+        eras = (self._key_era, self._entry.era if self._entry else None)
+        if eras != (self._store.era, self._store.era):
             return 0.0
         return RENEW_INTERVAL_S
 
@@ -192,13 +195,23 @@
             ) from error
         self._entry = _OwnEntry(lease.lease_id, revision, era)
 
-    async def _load_or_create_key(self) -> KeyRing:
+    async def _load_or_write_key(self) -> None:
+        """
+        Adopt the store's signing key, or write this node's if the store has none.
+
+        After the store has returned from a copy without the key, the first node to
+        write its own decides for all.
+        """
+        era = self._store.era
         entry = await self._store.get(NEWS_KEY)
-        if entry is not None:
-            return KeyRing({NEWS_KEY_ID: entry.value}, NEWS_KEY_ID)
-        secret = secrets.token_bytes(SECRET_BYTES)
-        try:
-            await self._store.put(NEWS_KEY, secret, ABSENT)
-        except CompareFailed:
-            return await self._load_or_create_key()
-        return KeyRing({NEWS_KEY_ID: secret}, NEWS_KEY_ID)
+        secret = self._signing_keys.newest if entry is None else entry.value
+        if entry is None:
+            secret = secret or secrets.token_bytes(SECRET_BYTES)
+            try:
+                await self._store.put(NEWS_KEY, secret, ABSENT)
+            except CompareFailed:
+                # Another node was faster: the next step reads its key.
+                return
+        self._key_era = era
+        if self._signing_keys.adopt(secret, self._state.clock.monotonic()):
+            log(LogEvent.SIGNING_KEY_ADOPTED, key_id=self._signing_keys.newest_id)
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_signing_keys.py
@@ -0,0 +1,64 @@
+"""The keys that sign messages between nodes, and the change from one to another."""
+
+import hashlib
+
+import attrs
+
+from tanagerkeel.gateways.frames import KeyRing
+
+__all__ = ["SigningKeys"]
+
+KEY_ID_BYTES = 2
+# How long a node still signs with its old key after it has learnt another one, in
+# seconds. Nodes learn the new one at different times and accept both then.
+CHANGE_DELAY_S = 3.0
+
+
+def _key_id(secret: bytes) -> int:
+    """Return an id that all nodes derive from a key alone."""
+    return int.from_bytes(hashlib.sha256(secret).digest()[:KEY_ID_BYTES], "big")
+
+
+@attrs.define
+class SigningKeys:
+    """
+    The newest key and the one before it.
+
+    Nodes may have different keys for a moment if the store has returned from a copy
+    without the key, and a node that has just started has written another one.
+    """
+
+    _secrets: tuple[bytes, ...] = attrs.field(default=(), repr=False)
+    _sign_with_newest_s: float = float("-inf")
+
+    @property
+    def newest(self) -> bytes | None:
+        """The newest key; None before the first."""
+        return self._secrets[-1] if self._secrets else None
+
+    @property
+    def newest_id(self) -> int:
+        """Id of the newest key."""
+        return _key_id(self._secrets[-1])
+
+    def adopt(self, secret: bytes, now: float) -> bool:
+        """
+        Make a key the newest one; return whether it was not.
+
+        :param secret: the key.
+        :param now: monotonic time, in seconds.
+        """
+        if secret == self.newest:
+            return False
+        if self._secrets:
+            self._sign_with_newest_s = now + CHANGE_DELAY_S
+        self._secrets = (*self._secrets[-1:], secret)
+        return True
+
+    def ring(self, now: float) -> KeyRing | None:
+        """Return the keys in use; None before the first."""
+        if not self._secrets:
+            return None
+        signing = self._secrets[-1 if now >= self._sign_with_newest_s else 0]
+        by_id = {_key_id(secret): secret for secret in self._secrets}
+        return KeyRing(by_id, _key_id(signing))
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -105,6 +105,10 @@
     def keys(self) -> list[str]:
         return sorted(self._items)
 
+    def get_now(self, key: str) -> bytes:
+        """Return the value of a key, without a call."""
+        return self._items[key].value
+
     def copy(self) -> StoreCopy:
         """Return a copy of all that the store holds now."""
         leases = {lease_id: set(keys) for lease_id, keys in self._leases.items()}
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -28,6 +28,7 @@
 from tests.support import collect
 
 REQUEST_COUNT = 6
+NEWS_KEY = "tanagerkeel/news-key"
 # A route that a later version of the configuration adds.
 ADDED_ROUTE = route("added", "safe", "booking")
 
@@ -164,6 +165,44 @@
     return key
 
 
+async def test_nodes_agree_on_one_signing_key_after_a_copy_without_it():
+    # A node that starts then has written another key than the one that nodes use.
+    for another in (None, b"k" * 32):
+        async with relay_over_http(respond_with_id, node_count=3) as relay:
+            store = relay.store
+            old_key = store.get_now(NEWS_KEY)
+            async with outage(relay):
+                store.restore(store.copy())
+                store.delete(NEWS_KEY)
+                if another is not None:
+                    store.write(NEWS_KEY, another)
+            tasks = [node._presence for node in relay.nodes]
+            await relay.until(
+                lambda tasks=tasks: (
+                    len({task._signing_keys.newest for task in tasks}) == 1
+                    and all(task._key_era == 2 for task in tasks)
+                )
+            )
+            assert store.get_now(NEWS_KEY) == tasks[0]._signing_keys.newest
+            assert store.get_now(NEWS_KEY) == (another or old_key)
+            await hear_each_other(relay)
+
+
+async def hear_each_other(relay: Relay) -> None:
+    """Wait until each node has accepted a new update of each other one."""
+    states = [node.state for node in relay.nodes]
+    since_s = states[0].clock.monotonic()
+    for node in relay.nodes:
+        node._peer_updates.notify_all_peers()
+    await relay.until(
+        lambda: all(
+            sum(received_s > since_s for received_s, _ in state._peer_retries.values())
+            == len(states) - 1
+            for state in states
+        )
+    )
+
+
 async def test_a_listing_is_of_one_era():
     pages = [(1, "a", True), (2, "b", True), (2, "c", True), (2, "d", False)]
 
