Keep a failure domain out when an older copy of the store does not say so

What callers saw: nothing that was reported.

Cause: a failure domain that is missing in a listing counted as put back into service. After the store has returned from a copy that is older than the operator's write, that was wrong until the operator wrote it again.

Evidence: test_a_failure_domain_stays_out_when_a_copy_does_not_say_so.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -331,7 +331,7 @@
         if record is None:
             return False
         if (
-            self._may_reregister(now)
+            self.may_reregister(now)
             and record.server.state is ServerState.READY
             and not self.is_leaving(record.server)
         ):
@@ -346,9 +346,15 @@
         missing = [name for name in self._records if name not in listed]
         return tuple(name for name in missing if self.remove(name, now))
 
+    def may_reregister(self, now: float) -> bool:
+        """Return whether entries that are missing in the store may come back."""
+        return (
+            self._store_unreachable or now < self._store_recovered_s + REREGISTRATION_S
+        )
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop entries that did not return after an outage; return their ids."""
-        if self._may_reregister(now):
+        if self.may_reregister(now):
             return ()
         gone = tuple(
             n for n, b in self._records.items() if b.missing_since_s is not None
@@ -452,7 +458,7 @@
 
         Those in back-off or held off are included: the caller decides about them.
         """
-        may_reregister = self._may_reregister(now)
+        may_reregister = self.may_reregister(now)
         return (
             record
             for record in self._records.values()
@@ -606,11 +612,6 @@
         if record is not None and record.server.same_incarnation(server):
             record.cold_until_s = max(record.cold_until_s, until_s)
 
-    def _may_reregister(self, now: float) -> bool:
-        return (
-            self._store_unreachable or now < self._store_recovered_s + REREGISTRATION_S
-        )
-
     def _mark_reachable(self, record: BackendRecord, now: float) -> None:
         record.last_data_s = now
         self._reach.clear_losses(record.server.failure_domain)
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -101,6 +101,10 @@
     _unread_retry_after: set[tuple[str, int]] = attrs.field(factory=set)
     _unread_rate_limit: set[tuple[str, int]] = attrs.field(factory=set)
     _change_event: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Whether the next listing is the first one of a new era of the store.
+    _copy_listed: bool = False
+    # Failure domains that are out of service although that listing didn't say so.
+    _missing_domains: set[str] = attrs.field(factory=set)
     # Failure domains that may be cut off, with their losses at the last change.
     _suspected_domains: dict[str, int] = attrs.field(factory=dict)
     _cut_off_domains: set[str] = attrs.field(factory=set)
@@ -241,6 +245,7 @@
                 if update.failure_domain not in self.backends.domains_out:
                     log(LogEvent.DOMAIN_TAKEN_OUT, domain=update.failure_domain)
                 self.backends.take_domain_out(update.failure_domain)
+                self._missing_domains.discard(update.failure_domain)
             case DomainRestored():
                 self._restore_domain(update.failure_domain)
         self.notify_changed()
@@ -248,6 +253,7 @@
     def begin_store_era(self) -> None:
         """Record that the store has returned from an older copy, before its listing."""
         self.backends.begin_store_era(self.clock.monotonic())
+        self._copy_listed = True
 
     def keep_only(self, backend_ids: set[str], domains_out: set[str]) -> None:
         """
@@ -259,16 +265,26 @@
         now = self.clock.monotonic()
         for name in self.backends.keep_only(backend_ids, now):
             self._on_backend_removed(name, "its entry is missing in the listing")
-        for domain in self.backends.domains_out - domains_out:
-            self._restore_domain(domain)
+        missing = self.backends.domains_out - domains_out
+        if self._copy_listed:
+            # The copy may be older than the operator's write; see expire().
+            self._missing_domains |= missing
+        else:
+            for domain in missing:
+                self._restore_domain(domain)
+        self._copy_listed = False
         self.notify_changed()
 
     def expire(self) -> None:
-        """Drop backend servers whose entries did not come back after an outage."""
-        for name in self.backends.expire(self.clock.monotonic()):
+        """Drop what did not come back after an outage or a new era of the store."""
+        now = self.clock.monotonic()
+        for name in self.backends.expire(now):
             self._on_backend_removed(
                 name, "its entry did not come back after an outage"
             )
+        if self._missing_domains and not self.backends.may_reregister(now):
+            for domain in tuple(self._missing_domains):
+                self._restore_domain(domain)
 
     def record_failure(
         self, server: BackendServer, failure: SendFailure, request_id: str
@@ -581,6 +597,7 @@
         self.cold_limiter.remove(backend_id)
 
     def _restore_domain(self, domain: str) -> None:
+        self._missing_domains.discard(domain)
         if domain not in self.backends.domains_out:
             return
         services = self.configuration.services if self.configuration else ()
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -5,6 +5,7 @@
 answers name its era in a header.
 """
 
+import asyncio
 import contextlib
 import json
 from collections.abc import AsyncIterator
@@ -165,6 +166,33 @@
     return key
 
 
+async def test_a_failure_domain_stays_out_when_a_copy_does_not_say_so():
+    async with relay_over_http(respond_with_id) as relay:
+        store, backends = relay.store, relay.node.state.backends
+        copy = store.copy()
+        store.write("op/evacuate/zone-a", {})
+        await relay.until(lambda: backends.domains_out)
+        for withdrawn in (False, True):
+            async with outage(relay):
+                store.restore(copy)
+            era = store.era
+            await relay.until(lambda era=era: era_of(relay) == era)
+            assert backends.domains_out == {"zone-a"}
+            assert (await relay.call("/lookup/x")).status == 503
+            if not withdrawn:
+                store.write("op/evacuate/zone-a", {})
+                await asyncio.sleep(2.5)
+                assert backends.domains_out == {"zone-a"}
+        # The operator has not written it again.
+        await relay.until(lambda: not backends.domains_out)
+
+
+def era_of(relay: Relay, node: int = 0) -> int:
+    """Return the era of the store in which a node has announced itself."""
+    entry = relay.nodes[node]._presence._entry
+    return entry.era if entry is not None else 0
+
+
 async def test_nodes_agree_on_one_signing_key_after_a_copy_without_it():
     # A node that starts then has written another key than the one that nodes use.
     for another in (None, b"k" * 32):
