Keep peers whose entries the store has lost until they announce themselves again

What callers saw: nothing that was reported.

Cause: a node whose entry is missing in a listing was dropped at once. After the store has returned from a copy without the nodes' leases, nodes stopped reporting their work, limits and quarantines to each other, and each took itself for a watcher, until all had announced themselves again.

Evidence: test_nodes_keep_hearing_each_other_when_a_copy_has_no_node.

Why it works: while entries may come back, as for backend servers, a missing node is kept for up to 6 s, the time to live of its lease; a node that has ended is dropped then.

--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -5,6 +5,9 @@
 __all__ = ["NODE_KEY_PREFIX", "Peer", "PeerTable", "node_id_from_key"]
 
 NODE_KEY_PREFIX = "tanagerkeel/nodes/"
+# How long a node whose key is missing after an outage of the store, or in an older copy
+# of it, is kept, in seconds. Such nodes announce themselves again within this time.
+MISSING_RETENTION_S = 6.0
 # A node whose key was removed may still send requests. For this time, in seconds, it
 # counts as a node in the limits that nodes share; the time is longer than the lease of
 # its key and than the window of any such limit.
@@ -46,6 +49,7 @@
     _own_id: str
     _peers: dict[str, Peer] = attrs.field(factory=dict)
     _removed_s: dict[str, float] = attrs.field(factory=dict)
+    _missing_s: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def others(self) -> tuple[Peer, ...]:
@@ -66,12 +70,27 @@
         changed = self._peers.get(peer.node_id) != peer
         self._peers[peer.node_id] = peer
         self._removed_s.pop(peer.node_id, None)
+        self._missing_s.pop(peer.node_id, None)
         return changed
 
+    def mark_missing(self, node_id: str, now: float) -> None:
+        """Record that a node's key is missing, although the node may still run."""
+        if node_id in self._peers:
+            self._missing_s.setdefault(node_id, now)
+
+    def expired(self, now: float) -> tuple[str, ...]:
+        """Return the nodes whose keys have been missing for too long."""
+        return tuple(
+            node_id
+            for node_id, missing_s in self._missing_s.items()
+            if now - missing_s >= MISSING_RETENTION_S
+        )
+
     def remove(self, node_id: str, now: float) -> bool:
         """Remove a node whose key is gone; return whether the table held it."""
         if self._peers.pop(node_id, None) is None:
             return False
+        self._missing_s.pop(node_id, None)
         self._removed_s[node_id] = now
         return True
 
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -312,6 +312,8 @@
         self._exchange.send_hints(changes.revision)
 
     def _record_success(self) -> None:
+        for node_id in self._state.peers.expired(self._state.clock.monotonic()):
+            self._remove_peer(node_id)
         self._state.backends.mark_store_reachable(self._state.clock.monotonic())
         if not self._reachable:
             log(
@@ -356,8 +358,8 @@
                 case str() as node_id:
                     nodes.add(node_id)
         self._state.keep_only(backends, domains)
-        for removed in set(self._state.peers.ids()) - nodes:
-            self._remove_peer(removed)
+        for missing in set(self._state.peers.ids()) - nodes:
+            self._on_peer_key_gone(missing)
         self._exchange.revision = listing.revision
         self._exchange.era = listing.era
         self._exchange.change_log.clear()
@@ -368,7 +370,7 @@
             return
         node_id = node_id_from_key(change)
         if node_id is not None:
-            self._remove_peer(node_id)
+            self._on_peer_key_gone(node_id)
             return
         update = self._decoder.decode_deleted(change)
         if update is not None:
@@ -402,6 +404,13 @@
             )
         return peer.node_id
 
+    def _on_peer_key_gone(self, node_id: str) -> None:
+        now = self._state.clock.monotonic()
+        if self._state.backends.may_reregister(now):
+            self._state.peers.mark_missing(node_id, now)
+        else:
+            self._remove_peer(node_id)
+
     def _remove_peer(self, node_id: str) -> None:
         if self._state.peers.remove(node_id, self._state.clock.monotonic()):
             self._state.assignments.remove_peer(node_id)
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -18,6 +18,7 @@
 from tanagerkeel.gateways.http_server import HttpServer
 from tanagerkeel.gateways.platform import PlatformUnavailable
 from tests.platform.fixtures import (
+    ANY_PORT,
     MemoryStore,
     Relay,
     configuration,
@@ -193,6 +194,28 @@
     return entry.era if entry is not None else 0
 
 
+async def test_nodes_keep_hearing_each_other_when_a_copy_has_no_node():
+    async with relay_over_http(respond_with_id, node_count=3) as relay:
+        store, peers = relay.store, relay.node.state.peers
+        # A node that has ended while the store was away, and doesn't come back.
+        ended = {"node_id": "gone", "failure_domain": "zone-a", "started_ms": 1}
+        store.write("tanagerkeel/nodes/gone", {**ended, "news_address": ANY_PORT})
+        await relay.until(lambda: len(peers.others) == 3)
+        others = set()
+        async with outage(relay):
+            store.restore(store.copy())
+            for key in store.keys():
+                if key.startswith("tanagerkeel/nodes/"):
+                    store.delete(key)
+        for _ in range(40):
+            others.add(frozenset(peer.node_id for peer in peers.others))
+            await asyncio.sleep(0.05)
+        assert others == {frozenset(("node-2", "node-3", "gone"))}
+        await hear_each_other(relay)
+        await asyncio.sleep(4.5)
+        await relay.until(lambda: len(peers.others) == 2)
+
+
 async def test_nodes_agree_on_one_signing_key_after_a_copy_without_it():
     # A node that starts then has written another key than the one that nodes use.
     for another in (None, b"k" * 32):
