Let a restart of two tests begin after the hold-off that it ends

It gave the restarted engine the current time cut to a millisecond as its start. A hold-off that was asked for in the same millisecond then lay after the start, and went over to the restart, as it should. The start is rounded up now, as the tests' names say that it comes later. The checks are unchanged. The same line stood in test_rate_limits.

--- a/tests/platform/test_hold_off.py
+++ b/tests/platform/test_hold_off.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import time
 
 from tests.platform.fixtures import (
@@ -176,7 +177,7 @@
         engine.retry_after = "30"
         await hold_off(relay, engine)
         engine.retry_after = None
-        born = int(1_000 * time.time())
+        born = math.ceil(1_000 * time.time())
         relay.store.write("servers/i-0", engine.store_entry("booking", born=born))
         await relay.until(lambda: record_of(relay).server.started_ms == born)
         assert (await lookup(relay, 1)).status == 200
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 
 import attrs
@@ -133,7 +134,7 @@
         assert (await lookup(relay)).status == 200
         assert (await lookup(relay)).status == 503
         engine.rate_limit = None
-        await restart(relay, engine, int(1_000 * time.time()))
+        await restart(relay, engine, math.ceil(1_000 * time.time()))
         assert (await lookup(relay)).status == 200
 
 
