Let the store of the soak test return from older copies

The soak does, beside its other faults, from copies of 1, 3 and 10 s after 0.2 to 2 s: owners write again what is lost, in random order and within half a second. After the last fault each node must serve the route of the newest version. A run of its own changes a server and the configuration before or after each return and checks both when the store has been stable for 3 s.

Two mutants are found: one that ignores eras, by CONFIG, and one that compares revisions of two eras in its table of servers, by DRAIN.

--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -133,5 +133,24 @@
     assert checker.limits.told_s and not checker.violations, checker.violations
 
 
+def test_entries_that_change_while_the_store_returns_from_copies_are_known():
+    checker = _run(seconds=12.0, eras_first=True)
+    assert checker.drained and not checker.violations, checker.violations
+
+
+def test_what_is_written_below_a_known_revision_and_not_read_is_detected():
+    for mutant, word in (
+        ("ignores_eras.py", "CONFIG"),
+        ("trusts_revisions.py", "DRAIN"),
+    ):
+        checker = _run(
+            seconds=12.0, program=str(MUTANTS / mutant), fault_rate=0.0, eras_first=True
+        )
+        assert any(line.startswith(word) for line in checker.violations), (
+            mutant,
+            checker.violations[:3],
+        )
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
