Move signatures of requests between nodes out of the entry nodes' packages

A relaying node needs them to forward requests, and the platform has no pynng, which the packages of entry nodes import. No change of behaviour.

--- a/src/tanagerkeel/gateways/forward/__init__.py
+++ b/src/tanagerkeel/gateways/forward/__init__.py
@@ -7,7 +7,7 @@
     ForwardedModelRequest,
     ForwardReply,
 )
-from tanagerkeel.gateways.forward._signature import ForwardSigner, ForwardVerifier
+from tanagerkeel.gateways.request_signature import ForwardSigner, ForwardVerifier
 
 __all__ = [
     "ForwardFailed",
--- a/src/tanagerkeel/gateways/forward/_app.py
+++ b/src/tanagerkeel/gateways/forward/_app.py
@@ -21,12 +21,12 @@
     ForwardReply,
     to_forward_error,
 )
-from tanagerkeel.gateways.forward._signature import (
+from tanagerkeel.gateways.peers import FrameRejected
+from tanagerkeel.gateways.request_signature import (
     SIGNATURE_HEADER,
     ForwardVerifier,
     SessionMismatch,
 )
-from tanagerkeel.gateways.peers import FrameRejected
 from tanagerkeel.requests import AnswerChunk, AnswerEnd
 
 __all__ = ["ForwardHandler", "make_forward_app"]
--- a/src/tanagerkeel/gateways/forward/_client.py
+++ b/src/tanagerkeel/gateways/forward/_client.py
@@ -14,8 +14,8 @@
     ForwardReply,
     raise_forward_error,
 )
-from tanagerkeel.gateways.forward._signature import SIGNATURE_HEADER, ForwardSigner
 from tanagerkeel.gateways.http_client import NOT_SENT_ERRORS, client_timeout
+from tanagerkeel.gateways.request_signature import SIGNATURE_HEADER, ForwardSigner
 from tanagerkeel.requests import AnswerChunk
 
 __all__ = ["ForwardFailed", "HttpForwardGateway"]
--- a/src/tanagerkeel/gateways/peers/__init__.py
+++ b/src/tanagerkeel/gateways/peers/__init__.py
@@ -17,7 +17,7 @@
     message_class,
     peer_message,
 )
-from tanagerkeel.gateways.peers._replay import ReplayWindows
+from tanagerkeel.gateways.replay import ReplayWindows
 
 __all__ = [
     "Frame",
--- a/src/tanagerkeel/gateways/peers/_nng.py
+++ b/src/tanagerkeel/gateways/peers/_nng.py
@@ -29,8 +29,8 @@
     kind_of,
     message_class,
 )
-from tanagerkeel.gateways.peers._replay import ReplayWindows
 from tanagerkeel.gateways.peers._socket_pool import SocketPool
+from tanagerkeel.gateways.replay import ReplayWindows
 
 __all__ = ["NngPeerBus", "PeerCounters"]
 
--- a/src/tanagerkeel/gateways/forward/_signature.py
+++ b/src/tanagerkeel/gateways/request_signature.py
@@ -11,7 +11,8 @@
 import attrs
 
 from tanagerkeel import codec
-from tanagerkeel.gateways.peers import FrameRejected, KeyRing, ReplayWindows
+from tanagerkeel.gateways.frames import FrameRejected, KeyRing
+from tanagerkeel.gateways.replay import ReplayWindows
 
 __all__ = [
     "SIGNATURE_HEADER",
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -18,8 +18,8 @@
     HttpForwardGateway,
     make_forward_app,
 )
-from tanagerkeel.gateways.forward._signature import SIGNATURE_HEADER
 from tanagerkeel.gateways.peers import FrameRejected, KeyRing
+from tanagerkeel.gateways.request_signature import SIGNATURE_HEADER
 from tanagerkeel.membership import ModelCapacity, SummaryTable, model_number
 from tanagerkeel.requests import AnswerEnd, LengthClass, ServiceRequest, TokenChunk
 from tests.fixtures import serving, until
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,7 +20,7 @@
     PeerUnreachable,
     peer_message,
 )
-from tanagerkeel.gateways.peers._replay import ReplayWindows
+from tanagerkeel.gateways.replay import ReplayWindows
 from tests.fixtures import until
 from tests.support import collect
 
