Forward requests to peers while this node reaches no backend server

Cause: a node's only way to serve was its own connections to backend servers, and a request that can't use them was refused, although peers could serve it. Two lesser causes: the cut was known only after 1.6 to 3.5 s, as each failure domain was judged by itself, and not at all while old connections lived on and new ones were refused.

Why it works: after two connections in a row that don't come up, or at once when the service is known to be out of reach, the request goes to a peer that hears this node and reaches the service, signed with the nodes' key, once and no further. The peer serves it as one of its own: account, limits, quarantine, hold-offs, attempts and retries are decided there, once. The answer streams back with the engine's headers and seal; its end is proved by the last chunk. A lost peer is treated as a lost engine. New connections to a service count as failing after three failures in a row in each of its failure domains, whatever old connections do; when one comes up again, back-offs and failure rates that the cut caused are forgotten.

The relay of a response is split from the attempt, so that both kinds of attempts share it.

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -122,6 +122,11 @@
     idle_since_s: float = 0.0
     keep_alive_s: float | None = None
 
+    @property
+    def unused(self) -> bool:
+        """Whether no request has been sent on the connection yet."""
+        return self._parser is None
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on the connection."""
--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -33,6 +33,7 @@
     prefill_ms,
     step_ms,
 )
+from tanagerkeel.relay._peer_choice import PeerCandidate, choose_peer
 from tanagerkeel.relay._placement import (
     LONG_PROMPT_TOKENS,
     RelayPlacement,
@@ -88,6 +89,7 @@
     "ModelDemand",
     "SectionQuarantine",
     "SectionReport",
+    "PeerCandidate",
     "RelayPlacement",
     "Prefill",
     "RateLimitTable",
@@ -108,6 +110,7 @@
     "UnstartedAttempts",
     "WeightedService",
     "Assignment",
+    "choose_peer",
     "choose_placement",
     "decode_ms",
     "estimate",
--- a/src/tanagerkeel/relay/_assignments.py
+++ b/src/tanagerkeel/relay/_assignments.py
@@ -122,6 +122,13 @@
         """Remove a peer that is gone, with all that it has assigned."""
         self._peers.pop(node, None)
 
+    def running_at(self, node: str, now: float) -> int:
+        """Return how many requests a peer runs, according to its newest update."""
+        update = self._peers.get(node)
+        if update is None:
+            return 0
+        return sum(now < a.end_s + OVERDUE_S for a in update.assignments)
+
     def oldest_update_age_s(self, now: float) -> float:
         """Return the age of the oldest peer update in use, in seconds."""
         ages = (now - update.received_s for update in self._current(now))
--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -12,6 +12,7 @@
 
 from tanagerkeel.relay._domain_reach import DomainReachability
 from tanagerkeel.relay._hold_off import HoldOffTable
+from tanagerkeel.relay._service_reach import OUT_OF_REACH_FAILURES, ServiceReach
 
 __all__ = [
     "BackendServer",
@@ -216,6 +217,7 @@
     _domains_out: set[str] = attrs.field(factory=set)
     _era: int = 0
     _reach: DomainReachability = attrs.field(factory=DomainReachability)
+    _service_reach: ServiceReach = attrs.field(factory=ServiceReach)
     _store_unreachable: bool = False
     _store_recovered_s: float = float("-inf")
 
@@ -487,6 +489,9 @@
                     self._reach.record_loss(
                         server.failure_domain, server.backend_id, now
                     )
+                    self._service_reach.record_failure(
+                        server.service, server.backend_id, now
+                    )
                 backoff_s = min(
                     MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (record.failures - 1)
                 )
@@ -540,6 +545,21 @@
             for b in usable
         )
 
+    def new_connections_fail(self, service: str, now: float) -> bool:
+        """
+        Return whether no new connection to a service's backend servers comes up.
+
+        That is the case when connections to several in a row, in each of their failure
+        domains, did not come up. Older connections may still work.
+        """
+        failed = self._service_reach.failed(service, now)
+        if len(failed) < OUT_OF_REACH_FAILURES:
+            return False
+        usable = [b.server for b in self.usable(service, now)]
+        domains = {server.failure_domain for server in usable}
+        failed_domains = {s.failure_domain for s in usable if s.backend_id in failed}
+        return bool(domains) and domains == failed_domains
+
     def domain_suspected(self, domain: str, now: float) -> bool:
         """Return whether new work should avoid a failure domain that may be cut off."""
         return self._reach.suspected(domain, now)
@@ -571,12 +591,31 @@
 
     def record_connection(self, server: BackendServer, now: float) -> None:
         """Record that a connection to a backend server was established."""
+        self._service_reach.record_connection(server.service)
         record = self._records.get(server.backend_id)
         if record is not None and record.server.same_incarnation(server):
             self._mark_reachable(record, now)
             record.failures = 0
             record.backoff_until_s = min(record.backoff_until_s, now)
 
+    def record_service_reached(self, service: str) -> None:
+        """Record that a new connection to any backend server of a service came up."""
+        self._service_reach.record_connection(service)
+
+    def forget_unreachable(self, service: str, now: float) -> None:
+        """
+        Forget that backend servers of a service could not be reached from here.
+
+        Otherwise only the few that were probed would get work at first.
+        """
+        for record in self._records.values():
+            unreachable = record.last_unreachable_s > record.last_success_s
+            misdirected = record.backoff_until_s == float("inf")
+            if record.server.service == service and unreachable and not misdirected:
+                record.failures = 0
+                record.smoothed_failure_rate = 0.0
+                record.backoff_until_s = min(record.backoff_until_s, now)
+
     def record_gone(self, server: BackendServer, now: float) -> None:
         """Record that its address refuses connections or has another server."""
         record = self._records.get(server.backend_id)
--- a/src/tanagerkeel/relay_entry/_ingress.py
+++ b/src/tanagerkeel/relay_entry/_ingress.py
@@ -1,16 +1,13 @@
 """ASGI application that reads callers' requests and hands them to the relay."""
 
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
-
 import attrs
 
 from tanagerkeel.clock import Clock
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.gateways.http_server import ABORT_EXTENSION
-from tanagerkeel.relay import CallerLimits, Headers
+from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._admit import Refusal
+from tanagerkeel.relay_entry._asgi_reply import AsgiReply, Event, Receive, Send
 from tanagerkeel.relay_entry._protocols import CallerCodec
 from tanagerkeel.relay_entry._refusals import send_refusal
 from tanagerkeel.relay_entry._runner import RelayRunner
@@ -18,47 +15,6 @@
 
 __all__ = ["RelayIngress"]
 
-Event = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Event]]
-Send = Callable[[Event], Awaitable[None]]
-CLOSE_HEADER = (b"connection", b"close")
-
-
-@attrs.define
-class _AsgiReply:
-    """
-    Sends one response through ASGI; implements :class:`CallerReply`.
-
-    :param closing: returns whether the connection closes after this response.
-    """
-
-    _scope: Event
-    _send: Send
-    _closing: Callable[[], bool]
-    _started: bool = False
-
-    @property
-    def started(self) -> bool:
-        return self._started
-
-    async def start(self, status: int, headers: Headers) -> None:
-        self._started = True
-        sent_headers = [*headers, CLOSE_HEADER] if self._closing() else list(headers)
-        await self._send(
-            {"type": "http.response.start", "status": status, "headers": sent_headers}
-        )
-
-    async def write(self, data: bytes) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
-
-    async def finish(self) -> None:
-        await self._send({"type": "http.response.body", "body": b""})
-
-    def abort(self) -> None:
-        self._scope["extensions"][ABORT_EXTENSION]()
-
 
 @attrs.frozen
 class RelayIngress:
@@ -80,7 +36,7 @@
         """Serve one ASGI request; scopes other than HTTP are ignored."""
         if scope["type"] != "http":
             return
-        reply = _AsgiReply(scope, send, lambda: self._state.stopping)
+        reply = AsgiReply(scope, send, lambda: self._state.stopping)
         request_id = ""
         try:
             request = self._codec.decode(scope, self._clock.monotonic())
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -42,6 +42,7 @@
     :param results: ended requests, by result.
     :param mishaps: failed sends, by the kind of failure.
     :param repeats: sends beyond each request's first.
+    :param forwarded: requests forwarded to peers, by how that ended.
     :param held_off: backend servers that asked to be sent nothing for a time.
     :param leaving: backend servers that announced in a response that they leave.
     :param rate_limited: backend servers that limit the requests per second.
@@ -59,6 +60,7 @@
     results: prometheus_client.Counter = attrs.field(init=False)
     mishaps: prometheus_client.Counter = attrs.field(init=False)
     repeats: prometheus_client.Counter = attrs.field(init=False)
+    forwarded: prometheus_client.Counter = attrs.field(init=False)
     held_off: prometheus_client.Gauge = attrs.field(init=False)
     leaving: prometheus_client.Gauge = attrs.field(init=False)
     rate_limited: prometheus_client.Gauge = attrs.field(init=False)
@@ -86,6 +88,9 @@
         self.results = _counter("results", "Ended requests", ("result",), registry)
         self.mishaps = _counter("mishaps", "Failed sends", ("mishap",), registry)
         self.repeats = _counter("repeats", "Sends beyond the first", (), registry)
+        self.forwarded = _counter(
+            "forwarded", "Requests forwarded to peers", ("result",), registry
+        )
         self.held_off = prometheus_client.Gauge(
             "tanagerkeel_relay_held_off",
             "Backend servers that asked to be sent nothing for a time",
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -16,7 +16,10 @@
 from tanagerkeel.gateways.http_server import HeaderPolicy, HttpServer
 from tanagerkeel.gateways.platform import PlatformUnavailable, WatchedStore
 from tanagerkeel.gateways.problems import header_policy
+from tanagerkeel.gateways.request_signature import ForwardSigner, ForwardVerifier
 from tanagerkeel.relay import CallerLimits
+from tanagerkeel.relay_entry._forward_intake import ForwardIntake
+from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._ingress import RelayIngress
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._operators import metrics_app, readiness_app
@@ -26,6 +29,7 @@
 from tanagerkeel.relay_entry._reachability_task import ReachabilityTask
 from tanagerkeel.relay_entry._runner import RelayRunner
 from tanagerkeel.relay_entry._settings import RelaySettings, load_relay_settings
+from tanagerkeel.relay_entry._signing_keys import CurrentKeyRing
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_task import StoreTask
 from tanagerkeel.relay_entry._store_updates import StoreDecoder
@@ -76,6 +80,7 @@
     _pool: ConnectionPool = attrs.field(init=False)
     _presence: RelayPresenceTask = attrs.field(init=False)
     _peer_updates: PeerUpdateTask = attrs.field(init=False)
+    _verifier: ForwardVerifier = attrs.field(init=False)
     _runner: RelayRunner = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(init=False, factory=list)
     _tasks: list[asyncio.Task] = attrs.field(init=False, factory=list)
@@ -102,12 +107,23 @@
         self._pool = ConnectionPool(self._clock)
         self._presence = RelayPresenceTask(self._store, self.state, self._random)
         self._peer_updates = PeerUpdateTask(self.state, self._presence, self._random)
+        keys = CurrentKeyRing(lambda: self._presence.keys)
+        self._verifier = ForwardVerifier(keys, self._random)
+        signer = ForwardSigner(self.settings.node_id, keys, self._random)
         self._runner = RelayRunner(
             self.state,
             self._pool,
             self._backends,
             self._peer_updates,
             self._metrics,
+            Forwarder(
+                self.state,
+                self._pool,
+                self._backends,
+                signer,
+                self._metrics,
+                self._random,
+            ),
         )
 
     @property
@@ -118,12 +134,12 @@
     @property
     def readiness_address(self) -> str:
         """``IP:PORT`` where the load balancer checks readiness."""
-        return self._servers[1].address
+        return self._servers[2].address
 
     @property
     def metrics_address(self) -> str:
         """``IP:PORT`` where metrics are served."""
-        return self._servers[2].address
+        return self._servers[3].address
 
     async def start(self) -> None:
         """
@@ -141,7 +157,16 @@
         metrics = self._create_server(
             self.settings.metrics_listen, metrics_app(self._metrics)
         )
-        self._servers = [callers, readiness, metrics]
+        intake = ForwardIntake(
+            self.state,
+            self._runner,
+            self._verifier,
+            lambda: self.settings.forward_listen,
+        )
+        forwards = self._create_server(
+            self.settings.forward_listen, CancelOnDisconnect(intake)
+        )
+        self._servers = [callers, forwards, readiness, metrics]
         self.state.on_caller_limits = self._apply_caller_limits
         for server in self._servers:
             await server.start()
@@ -158,7 +183,13 @@
         self._start_task("sweep", self._sweep_idle_connections)
         self._start_task("delay", self._measure_loop_delay)
         self._start_task(
-            "reach", ReachabilityTask(self.state, self._pool, self._random).run
+            "reach",
+            ReachabilityTask(
+                self.state,
+                self._pool,
+                self._random,
+                self._peer_updates.notify_all_peers,
+            ).run,
         )
         log(
             LogEvent.ENTRY_STARTED,
@@ -180,8 +211,9 @@
         self.state.stopping = True
         # Callers still arrive until the load balancer sees the node as not ready.
         await self._clock.sleep(self.settings.drain_delay_s)
-        callers, *others = self._servers
-        await callers.stop(max(0.1, deadline_s - self._clock.monotonic()))
+        callers, forwards, *others = self._servers
+        left_s = max(0.1, deadline_s - self._clock.monotonic())
+        await asyncio.gather(callers.stop(left_s), forwards.stop(left_s))
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerkeel.errors import Ran, ResultCode
 from tanagerkeel.gateways.exchange import BodyDelimiter
 from tanagerkeel.relay import ReplyHead, SendFailure
 
@@ -13,6 +14,7 @@
     "NotRunReply",
     "NotSent",
     "AttemptOutcome",
+    "RefusedByPeer",
     "ReplyLost",
     "Withheld",
 ]
@@ -118,6 +120,23 @@
     section: str
 
 
+@attrs.frozen
+class RefusedByPeer:
+    """
+    A peer to which the request was forwarded refused it or failed to serve it.
+
+    :param code: the peer's result code.
+    :param ran: whether a backend server may have run the request.
+    :param retry_after_s: when a retry may help, in seconds; None if it doesn't.
+    :param try_another: whether another peer may be able to serve it.
+    """
+
+    code: ResultCode
+    ran: Ran
+    retry_after_s: float | None = None
+    try_another: bool = False
+
+
 AttemptOutcome = (
     Delivered
     | NotSent
@@ -127,4 +146,5 @@
     | ReplyLost
     | Migrated
     | Withheld
+    | RefusedByPeer
 )
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -84,6 +84,8 @@
     section_reports: tuple[SectionReport, ...] = ()
     # The sender's newest sends to backend servers that limit their rate.
     limited_sends: tuple[SendReport, ...] = ()
+    # Services of which the sender reaches no backend server.
+    unreachable_services: tuple[str, ...] = ()
 
 
 def _pack(assignment: Assignment, now: float) -> PackedAssignment:
@@ -253,6 +255,7 @@
         if long_starts and self._state.on_long_prefill is not None:
             self._state.on_long_prefill(long_starts)
         self._state.record_peer_retries(frame.sender, update.retries)
+        self._state.record_peer_reach(frame.sender, update.unreachable_services)
         for entry in update.suspects:
             self._state.quarantine.merge(entry, now)
         self._state.rate_limits.merge(update.limited_sends, now)
@@ -330,6 +333,7 @@
             self._state.section_quarantine.take_starts(now),
             self._state.section_quarantine.take_reports(self._nodes(now), now),
             self._state.rate_limits.reports(now),
+            self._state.unreachable_services(),
         )
         data = self._sign(NEWS_KIND, codec.pack_compact(update), keys)
         for peer in peers:
--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -30,12 +30,15 @@
     :param failure_domain: where it runs; its peers there may get updates first.
     :param news_address: ``IP:PORT`` where it receives peers' datagrams.
     :param started_ms: wall-clock time of its start, in milliseconds.
+    :param forward_address: ``IP:PORT`` where it takes forwarded requests; empty if it
+        takes none.
     """
 
     node_id: str
     failure_domain: str
     news_address: str
     started_ms: int
+    forward_address: str = ""
 
 
 @attrs.define
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -19,7 +19,7 @@
 from tanagerkeel.relay_entry._run import RelayRun
 from tanagerkeel.relay_entry._state import RelayState
 
-__all__ = ["RelayPlacer"]
+__all__ = ["OutOfReach", "RelayPlacer"]
 
 # Interval at which placement of a waiting request is repeated without a change of
 # state, in seconds: estimates, limits on cold starts and exclusions also change with
@@ -27,6 +27,17 @@
 RECHECK_INTERVAL_S = 0.05
 
 
+@attrs.frozen
+class OutOfReach:
+    """
+    This node can begin no request to a service.
+
+    :param refusal: how the request is refused if no peer takes it either.
+    """
+
+    refusal: Refusal
+
+
 @attrs.define
 class RelayPlacer:
     """
@@ -42,9 +53,9 @@
     # the order of their arrival.
     _queues: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
-    async def place(self, run: RelayRun) -> RelayPlacement | Refusal:
+    async def place(self, run: RelayRun) -> RelayPlacement | Refusal | OutOfReach:
         """
-        Wait for a suitable placement and return it, or a refusal if there is none.
+        Wait for a suitable placement and return it, or why there is none.
 
         :raises TimeoutError: when the request's deadline has passed.
         """
@@ -56,16 +67,18 @@
 
     async def _place(
         self, run: RelayRun, queue: dict[str, None]
-    ) -> RelayPlacement | Refusal:
+    ) -> RelayPlacement | Refusal | OutOfReach:
         waited = False
         while True:
             now = self._state.clock.monotonic()
             if now >= run.deadline_s:
                 raise TimeoutError
             service = run.admitted.service.name
-            if self._state.backends.service_unreachable(service, now):
+            if self._state.out_of_reach(service, now):
                 reason = f"no backend server of {service} is reachable from this node"
-                return Refusal(ResultCode.NO_BACKEND, reason, OTHER_NODE_RETRY_S)
+                return OutOfReach(
+                    Refusal(ResultCode.NO_BACKEND, reason, OTHER_NODE_RETRY_S)
+                )
             section = self._state.section_quarantine.quarantined_section(
                 run.shared_sections, now
             )
--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -182,6 +182,7 @@
             failure_domain=settings.failure_domain,
             news_address=settings.news_listen,
             started_ms=int(self._state.clock.wall() * 1_000),
+            forward_address=settings.forward_listen,
         )
         era = self._store.era
         lease = await self._store.grant(LEASE_MS)
--- a/src/tanagerkeel/relay_entry/_protocols.py
+++ b/src/tanagerkeel/relay_entry/_protocols.py
@@ -119,6 +119,9 @@
     def started(self) -> bool:
         """Whether status and headers have been sent."""
 
+    def name_backend(self, server: BackendServer) -> None:
+        """Record which backend server responds, before :meth:`start`."""
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
 
--- a/src/tanagerkeel/relay_entry/_reachability_task.py
+++ b/src/tanagerkeel/relay_entry/_reachability_task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,11 +27,13 @@
     :param state: the node's state.
     :param pool: connections to backend servers.
     :param random: chooses the backend servers to probe.
+    :param on_change: called when a service can or can't be reached any more.
     """
 
     _state: RelayState
     _pool: ConnectionPool
     _random: random.Random
+    _on_change: Callable[[], None]
     _unreachable_services: set[str] = attrs.field(factory=set)
 
     async def run(self) -> None:
@@ -53,13 +55,13 @@
         services = {b.server.service for b in self._state.backends}
         for service in services | self._unreachable_services:
             now = self._state.clock.monotonic()
-            unreachable = self._state.backends.service_unreachable(service, now)
+            unreachable = self._state.out_of_reach(service, now)
             if unreachable:
                 usable = [b.server for b in self._state.backends.usable(service, now)]
                 unreachable = not await self._probe(
                     self._random.sample(usable, min(MAX_PROBED, len(usable)))
                 )
-            self._record_reachability(service, unreachable)
+            self._record_reachability(service, unreachable, now)
 
     async def _probe(self, servers: Iterable[BackendServer]) -> bool:
         """Connect to the backend servers; return whether any connection came up."""
@@ -75,10 +77,13 @@
         self._state.record_connection(server)
         return True
 
-    def _record_reachability(self, service: str, unreachable: bool) -> None:
+    def _record_reachability(self, service: str, unreachable: bool, now: float) -> None:
         if unreachable and service not in self._unreachable_services:
             self._unreachable_services.add(service)
             log(LogEvent.SERVICE_OUT_OF_REACH, service=service)
+            self._on_change()
         elif not unreachable and service in self._unreachable_services:
             self._unreachable_services.discard(service)
+            self._state.backends.forget_unreachable(service, now)
             log(LogEvent.SERVICE_REACHED, service=service)
+            self._on_change()
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -41,6 +41,8 @@
     :param reply: where the response to the caller is written.
     :param admitted: route, service and client account.
     :param deadline_s: when the response must be complete.
+    :param forwarded: whether a peer has forwarded it to this node, which then doesn't
+        forward it again.
     :param tried: ids of backend servers that it isn't sent to again.
     :param sends: attempts that count against the route's ``max_attempts``: those whose
         backend server may have run or has refused the request.
@@ -62,6 +64,7 @@
     reply: CallerReply
     admitted: Admitted
     deadline_s: float
+    forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
     _avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     sends: int = 0
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -9,6 +9,8 @@
 from tanagerkeel.gateways.exchange import ConnectionPool
 from tanagerkeel.relay import CallerRequest, RelayPlacement, SendFailure
 from tanagerkeel.relay_entry._admit import CAPACITY_RETRY_S, Refusal, admit
+from tanagerkeel.relay_entry._forward_messages import ForwardedRequest
+from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._outcomes import (
     AttemptOutcome,
@@ -18,11 +20,12 @@
     NoMemory,
     NotRunReply,
     NotSent,
+    RefusedByPeer,
     ReplyLost,
     Withheld,
 )
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask
-from tanagerkeel.relay_entry._placer import RelayPlacer
+from tanagerkeel.relay_entry._placer import OutOfReach, RelayPlacer
 from tanagerkeel.relay_entry._protocols import BackendCodec, CallerReply
 from tanagerkeel.relay_entry._refusals import send_refusal
 from tanagerkeel.relay_entry._run import RelayRun
@@ -35,6 +38,9 @@
 # connection to a crashed process fails at once, and nothing was sent, so that these
 # don't count as attempts.
 MAX_CONNECT_FAILURES = 8
+# After this many connection failures in a row, a request is forwarded to a peer. One
+# backend server may have crashed.
+FORWARD_AFTER_FAILURES = 2
 # How long requests wait for the first configuration after a node's start, in seconds.
 # The configuration comes with one list call, which is answered in milliseconds.
 FIRST_CONFIGURATION_WAIT_S = 0.25
@@ -54,6 +60,7 @@
     :param codec: encodes requests to backend servers and decodes their responses.
     :param peer_updates: reports this node's running work to its peers.
     :param metrics: counters and histograms.
+    :param forwarder: forwards requests that this node can't send itself.
     """
 
     _state: RelayState
@@ -61,6 +68,7 @@
     _codec: BackendCodec
     _peer_updates: PeerUpdateTask
     _metrics: RelayMetrics
+    _forwarder: Forwarder
     _open: int = 0
     _placer: RelayPlacer = attrs.field()
     _sender: Sender = attrs.field()
@@ -95,9 +103,40 @@
         :param body: its whole body.
         :param reply: where the response is written.
         """
+        await self._serve_counted(request, body, reply)
+
+    async def serve_forwarded(
+        self, forwarded: ForwardedRequest, sender: str, reply: CallerReply
+    ) -> None:
+        """
+        Serve a request that a peer has forwarded, as one of this node's own callers'.
+
+        :param forwarded: the request, its body, and what the peer has done for it.
+        :param sender: id of the peer.
+        :param reply: where the response is written.
+        """
+        now = self._state.clock.monotonic()
+        request = attrs.evolve(
+            forwarded.request, arrived_s=now - forwarded.elapsed_ms / 1_000
+        )
+        log(
+            LogEvent.FORWARD_RECEIVED,
+            request=request.request_id,
+            sender=sender,
+            elapsed_ms=forwarded.elapsed_ms,
+        )
+        await self._serve_counted(request, forwarded.body, reply, forwarded)
+
+    async def _serve_counted(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        reply: CallerReply,
+        forwarded: ForwardedRequest | None = None,
+    ) -> None:
         self._open += 1
         try:
-            await self._serve(request, body, reply)
+            await self._serve(request, body, reply, forwarded)
         except asyncio.CancelledError:
             self._metrics.results.labels("caller_gone").inc()
             log(LogEvent.CALLER_GONE, request=request.request_id)
@@ -106,7 +145,11 @@
             self._open -= 1
 
     async def _serve(
-        self, request: CallerRequest, body: bytes, reply: CallerReply
+        self,
+        request: CallerRequest,
+        body: bytes,
+        reply: CallerReply,
+        forwarded: ForwardedRequest | None,
     ) -> None:
         await self._wait_for_configuration()
         admitted = admit(request, self._state)
@@ -125,7 +168,12 @@
             refusal = Refusal(ResultCode.HELD_BACK, reason)
             await self._refuse(request, reply, refusal)
             return
-        self._state.retry_budget(admitted.service.name).record_request(now)
+        if forwarded is None:
+            self._state.retry_budget(admitted.service.name).record_request(now)
+        else:
+            # The node that took the request has counted it.
+            run.forwarded = True
+            run.sends = forwarded.sends
         try:
             await self._send_until_answered(run)
         except TimeoutError:
@@ -144,18 +192,25 @@
         connect_failures = 0
         while True:
             placement = await self._placer.place(run)
-            if isinstance(placement, Refusal):
-                await self._give_up(run, placement.code, placement.reason, placement)
-                return
+            match placement:
+                case OutOfReach(refusal):
+                    if not await self._forward(run):
+                        await self._give_up(run, refusal.code, refusal.reason, refusal)
+                    return
+                case Refusal():
+                    await self._give_up(
+                        run, placement.code, placement.reason, placement
+                    )
+                    return
             outcome = await self._sender.send(run, placement)
             match outcome:
                 case Delivered():
-                    self._record_delivered(run, placement, outcome)
+                    backend_id = placement.candidate.server.backend_id
+                    self._record_delivered(run, backend_id, outcome)
                     return
                 case NotSent():
                     connect_failures += 1
-                    if connect_failures > MAX_CONNECT_FAILURES:
-                        await self._give_up(run, ResultCode.NO_BACKEND, outcome.reason)
+                    if await self._ends_after(run, connect_failures, outcome):
                         return
                 case NoMemory() | Migrated():
                     # Placement now excludes the engine that had no free memory, or from
@@ -166,6 +221,45 @@
                         await self._give_up_after(run, outcome)
                         return
 
+    async def _ends_after(
+        self, run: RelayRun, connect_failures: int, outcome: NotSent
+    ) -> bool:
+        """Return whether a request has ended after so many failed connections."""
+        if connect_failures == FORWARD_AFTER_FAILURES and await self._forward(run):
+            return True
+        if connect_failures > MAX_CONNECT_FAILURES:
+            await self._give_up(run, ResultCode.NO_BACKEND, outcome.reason)
+            return True
+        return False
+
+    async def _forward(self, run: RelayRun) -> bool:
+        """
+        Forward a request to a peer until it is answered; return False if none takes it.
+
+        Retries at backend servers are up to the peer.
+        """
+        while not run.forwarded:
+            outcome = await self._forwarder.forward(run)
+            match outcome:
+                case None | NotSent() | RefusedByPeer(try_another=True):
+                    return False
+                case Delivered():
+                    self._record_delivered(run, None, outcome)
+                case RefusedByPeer():
+                    refusal = Refusal(
+                        outcome.code, "refused by a peer", outcome.retry_after_s
+                    )
+                    await self._give_up(run, refusal.code, refusal.reason, refusal)
+                case ErrorReply() if not run.reply.started:
+                    await self._send_backend_error(run, outcome)
+                case ReplyLost() if self._acquire_retry(run, outcome):
+                    # The peer, or the connection to it, is lost.
+                    continue
+                case _:
+                    await self._give_up_after(run, outcome)
+            return True
+        return False
+
     async def _may_send_again(
         self, run: RelayRun, placement: RelayPlacement, outcome: AttemptOutcome
     ) -> bool:
@@ -247,7 +341,7 @@
         )
 
     def _record_delivered(
-        self, run: RelayRun, placement: RelayPlacement, outcome: Delivered
+        self, run: RelayRun, backend_id: str | None, outcome: Delivered
     ) -> None:
         now = self._state.clock.monotonic()
         took_s = now - run.request.arrived_s
@@ -257,7 +351,7 @@
         log(
             LogEvent.RELAY_FINISHED,
             request=run.request.request_id,
-            backend=placement.candidate.server.backend_id,
+            backend=backend_id,
             status=outcome.status,
             events=run.events,
             sends=run.sends,
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -64,6 +64,7 @@
     :param readiness_listen: where the load balancer checks readiness.
     :param metrics_listen: where metrics are served.
     :param news_listen: where peers send their datagrams.
+    :param forward_listen: where peers forward callers' requests to.
     :param platform: the address of the platform's store.
     :param bounds: bounds that the deployment sets.
     :param log_lines_per_s: maximum number of log lines per second, averaged over a few
@@ -79,6 +80,7 @@
     readiness_listen: str = attrs.field(validator=_validate_address)
     metrics_listen: str = attrs.field(validator=_validate_address)
     news_listen: str = attrs.field(validator=_validate_address)
+    forward_listen: str = attrs.field(validator=_validate_address)
     platform: str = attrs.field(validator=_validate_address)
     bounds: RelayBounds = RelayBounds()
     log_lines_per_s: int = _positive_field(200)
--- a/src/tanagerkeel/relay_entry/_signing_keys.py
+++ b/src/tanagerkeel/relay_entry/_signing_keys.py
@@ -1,12 +1,13 @@
 """The keys that sign messages between nodes, and the change from one to another."""
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
 
-from tanagerkeel.gateways.frames import KeyRing
+from tanagerkeel.gateways.frames import FrameRejected, KeyRing
 
-__all__ = ["SigningKeys"]
+__all__ = ["CurrentKeyRing", "SigningKeys"]
 
 KEY_ID_BYTES = 2
 # How long a node still signs with its old key after it has learnt another one, in
@@ -62,3 +63,33 @@
         signing = self._secrets[-1 if now >= self._sign_with_newest_s else 0]
         by_id = {_key_id(secret): secret for secret in self._secrets}
         return KeyRing(by_id, _key_id(signing))
+
+
+@attrs.frozen
+class CurrentKeyRing:
+    """
+    A key ring, as :class:`KeyRing`, of the keys that are in use at each call.
+
+    :param current: returns the keys in use; None before the first.
+    """
+
+    _current: Callable[[], KeyRing | None]
+
+    @property
+    def signing_id(self) -> int:
+        """Id of the key that signs."""
+        return self._ring().signing_id
+
+    def sign(self, data: bytes) -> bytes:
+        """Return the truncated HMAC-SHA256 of ``data``."""
+        return self._ring().sign(data)
+
+    def verify(self, key_id: int, data: bytes, tag: bytes) -> None:
+        """Check the tag of ``data``; raise FrameRejected when it doesn't match."""
+        self._ring().verify(key_id, data, tag)
+
+    def _ring(self) -> KeyRing:
+        ring = self._current()
+        if ring is None:
+            raise FrameRejected("unknown_key")
+        return ring
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -1,7 +1,7 @@
 """State of one node: configuration, backend servers, peers and running work."""
 
 import asyncio
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterable
 
 import attrs
 
@@ -25,7 +25,7 @@
     parse_rate_limit,
     parse_retry_after,
 )
-from tanagerkeel.relay_entry._peers import PeerTable
+from tanagerkeel.relay_entry._peers import Peer, PeerTable
 from tanagerkeel.relay_entry._settings import RelaySettings
 from tanagerkeel.relay_entry._store_updates import (
     BackendRemoval,
@@ -97,6 +97,8 @@
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
     # When each peer last reported its retries, and their number by service.
     _peer_retries: dict[str, tuple[float, dict[str, int]]] = attrs.field(factory=dict)
+    # Services of which each peer reaches no backend server.
+    _peer_unreachable: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Incarnations whose Retry-After, or rate limit, could not be read.
     _unread_retry_after: set[tuple[str, int]] = attrs.field(factory=set)
     _unread_rate_limit: set[tuple[str, int]] = attrs.field(factory=set)
@@ -138,13 +140,51 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether this node can reach no backend server of any service."""
-        now = self.clock.monotonic()
+        """Whether no backend server can be reached from here or by way of a peer."""
         services = {b.server.service for b in self.backends}
-        unreachable = [
-            self.backends.service_unreachable(name, now) for name in services
-        ]
-        return bool(unreachable) and all(unreachable)
+        unreachable = self.unreachable_services()
+        return (
+            bool(services)
+            and len(unreachable) == len(services)
+            and not any(map(self.peers_that_reach, services))
+        )
+
+    def unreachable_services(self) -> tuple[str, ...]:
+        """Return the services of which this node reaches no backend server."""
+        now = self.clock.monotonic()
+        services = sorted({b.server.service for b in self.backends})
+        return tuple(s for s in services if self.out_of_reach(s, now))
+
+    def out_of_reach(self, service: str, now: float) -> bool:
+        """Return whether this node can begin no request to a service."""
+        return self.backends.service_unreachable(
+            service, now
+        ) or self.backends.new_connections_fail(service, now)
+
+    def record_peer_reach(self, node: str, unreachable: Iterable[str]) -> None:
+        """
+        Record which backend servers a peer reaches.
+
+        :param node: the peer's id.
+        :param unreachable: services of which it reaches no backend server.
+        """
+        self._peer_unreachable[node] = frozenset(unreachable)
+
+    def peers_that_reach(self, service: str) -> tuple[Peer, ...]:
+        """Return the peers that take forwarded requests and reach a service."""
+        now = self.clock.monotonic()
+        return tuple(
+            peer
+            for peer in self.peers.others
+            if peer.forward_address
+            and self._hears(peer.node_id, now)
+            and service not in self._peer_unreachable.get(peer.node_id, ())
+        )
+
+    def _hears(self, node: str, now: float) -> bool:
+        """Return whether a peer's newest update is recent."""
+        received_s, _ = self._peer_retries.get(node, (float("-inf"), None))
+        return now - received_s <= PEER_TIMEOUT_S
 
     @property
     def confirmed_age_s(self) -> float:
@@ -420,8 +460,7 @@
         """Return how many nodes this one hears, itself included, and of how many."""
         nodes = frozenset(self.peers.possible_senders(now))
         heard = sum(
-            now - received_s <= PEER_TIMEOUT_S and node in nodes
-            for node, (received_s, _) in self._peer_retries.items()
+            self._hears(node, now) and node in nodes for node in self._peer_retries
         )
         return 1 + heard, len(nodes)
 
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -668,6 +668,7 @@
         metrics_listen=ANY_PORT,
         # Peers are told this address, so it can't be chosen when it is bound.
         news_listen=f"127.0.0.1:{free_datagram_port()}",
+        forward_listen=f"127.0.0.1:{free_port()}",
         platform="127.0.0.1:1",
         bounds=bounds,
         drain_delay_s=0.0,
@@ -681,6 +682,12 @@
     )
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 def free_datagram_port() -> int:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
         probe.bind(("127.0.0.1", 0))
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -628,7 +628,7 @@
         for number in range(NODE_COUNT):
             addresses = [
                 f"{host}:{_free_port(self.port_rng, host, taken_ports)}"
-                for _ in range(4)
+                for _ in range(5)
             ]
             settings = {
                 "node_id": f"node-{number}",
@@ -637,6 +637,7 @@
                 "readiness_listen": addresses[1],
                 "metrics_listen": addresses[2],
                 "news_listen": addresses[3],
+                "forward_listen": addresses[4],
                 "platform": store_address,
                 "bounds": {"revoke_ms": int(REVOKE_BOUND_S * 1_000), "grace_s": 3.0},
                 "drain_delay_s": 0.3,
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -13,10 +13,19 @@
 
 from tanagerkeel.gateways.exchange import ConnectError, ConnectionPool
 from tests.platform.fixtures import (
+    CHUNKED_HEADERS,
     Engine,
+    ReceivedRequest,
     Relay,
+    call,
+    chunk,
+    event,
     respond_with_id,
+    response_head,
     running_relay,
+    shed_request,
+    stream_script,
+    write_response,
 )
 from tests.support import collect
 
@@ -84,6 +93,19 @@
     ]
 
 
+async def slow_stream(
+    engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    first = int(request.headers.get("last-event-id", 0)) + 1
+    writer.write(response_head(request, extra=CHUNKED_HEADERS))
+    for number in range(first, EVENTS + 1):
+        writer.write(chunk(event(number)))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
 @contextlib.asynccontextmanager
 async def cut_relay(*scripts, mode="refuse", node_count=3, **options):
     """Run nodes of which the first one is cut off from all engines."""
@@ -117,5 +139,249 @@
             assert await relay.readiness_status() == 200
 
 
+async def test_an_unsafe_request_is_forwarded_and_runs_once():
+    async with cut_relay(*[respond_with_id] * 4) as (relay, _):
+        replies = [
+            await relay.call("/reserve/x", request_id=f"r{n}", method="POST", body=b"b")
+            for n in range(10)
+        ]
+        assert [reply.status for reply in replies] == [200] * 10
+        assert all(len(received_by(relay, f"r{n}")) == 1 for n in range(10))
+        request, *_ = [r for engine in relay.engines for r in engine.received]
+        assert request.body == b"b" and request.method == "POST"
+
+
+async def test_what_the_engine_gets_and_says_is_unchanged():
+    async def script(engine, request, writer) -> None:
+        extra = ("X-Engine: a", "Content-Type: text/plain")
+        await write_response(writer, request, 201, request.body, extra=extra)
+
+    async with cut_relay(*[script] * 3) as (relay, cut):
+        options = {"method": "POST", "body": b"b" * 50_000, "headers": ("X-Own: 7",)}
+        forwarded = await relay.call("/lookup/x?q=%20", request_id="f", **options)
+        cut.mode = ""
+        direct = await relay.call("/lookup/x?q=%20", node=1, request_id="d", **options)
+        names = {"tanagerkeel-attempt-id"}
+        assert forwarded.status == direct.status == 201
+        assert forwarded.body == direct.body == options["body"]
+        assert {k: v for k, v in forwarded.headers.items() if k not in names} == {
+            k: v for k, v in direct.headers.items() if k not in names
+        }
+        (first,) = [r for e in relay.engines for r in e.received if r.request_id == "f"]
+        (second,) = [
+            r for e in relay.engines for r in e.received if r.request_id == "d"
+        ]
+        ignored = {
+            "tanagerkeel-attempt-id",
+            "tanagerkeel-deadline-remaining",
+            "tanagerkeel-target-instance",
+        }
+        assert first.target == second.target == "/lookup/x?q=%20"
+        assert {k: v for k, v in first.headers.items() if k not in ignored} == {
+            k: v for k, v in second.headers.items() if k not in ignored
+        }
+        assert int(first.headers["tanagerkeel-deadline-remaining"]) <= 2_000
+
+
+async def test_a_stream_is_forwarded_piece_by_piece():
+    async with cut_relay(*[slow_stream] * 3, service="models", mode="refuse") as (
+        relay,
+        _,
+    ):
+        loop = asyncio.get_running_loop()
+        host, _, port = relay.node.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = ["GET /chat/x HTTP/1.1", "Host: service.example", *CHAT]
+        lines += ["Tanagerkeel-Attempt-Id: s1", "Authorization: Token key-of-acme"]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        began = loop.time()
+        await reader.readuntil(b"piece 1")
+        assert loop.time() - began < 0.3
+        data = await reader.readuntil(b"0\r\n\r\n")
+        assert loop.time() - began >= 0.35
+        assert data.count(b"piece") == EVENTS - 1
+        writer.close()
+
+
+async def test_a_broken_off_forwarded_stream_does_not_look_complete():
+    async with cut_relay(
+        *[stream_script(EVENTS, stop_after=2)] * 2, service="models"
+    ) as (relay, _):
+        reply = await relay.call("/chat/x", headers=CHAT)
+        assert not reply.complete
+        whole = b"".join(event(n) for n in range(1, EVENTS + 1))
+        assert whole.startswith(reply.body)
+
+
+async def test_a_stream_goes_on_elsewhere_when_its_peer_is_lost():
+    async with cut_relay(*[slow_stream] * 4, service="models") as (relay, _):
+        pending = asyncio.create_task(relay.call("/chat/x", headers=CHAT))
+        await relay.until(
+            lambda: any(node._runner.open_requests for node in peers_of(relay))
+        )
+        await asyncio.sleep(0.15)
+        (peer,) = [node for node in peers_of(relay) if node._runner.open_requests]
+        for connection in list(peer._servers[1]._server.server_state.connections):
+            connection.transport.abort()
+        reply = await pending
+        assert reply.complete
+        assert reply.body == b"".join(event(n) for n in range(1, EVENTS + 1))
+
+
+async def test_an_unsafe_request_whose_peer_is_lost_is_neither_repeated_nor_denied():
+    async def never(engine, request, writer) -> None:
+        await asyncio.sleep(10)
+
+    async with cut_relay(*[never] * 3) as (relay, _):
+        pending = asyncio.create_task(
+            relay.call("/reserve/x", method="POST", body=b"b")
+        )
+        await relay.until(lambda: relay.received_count() == 1)
+        (peer,) = [node for node in peers_of(relay) if node._runner.open_requests]
+        for connection in list(peer._servers[1]._server.server_state.connections):
+            connection.transport.abort()
+        reply = await pending
+        assert reply.status == 502 and b'"ran":"unknown"' in reply.body
+        assert relay.received_count() == 1
+
+
+async def test_a_caller_who_leaves_ends_the_work_at_the_engine():
+    async def never(engine, request, writer) -> None:
+        await asyncio.sleep(10)
+
+    async with cut_relay(*[never] * 3) as (relay, _):
+        pending = asyncio.create_task(relay.call("/lookup/x"))
+        await relay.until(lambda: relay.received_count() == 1)
+        closed = sum(e.closed_connections for e in relay.engines)
+        pending.cancel()
+        engine = received_by(relay, "r1")[0]
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await relay.until(
+            lambda: not any(node._runner.open_requests for node in relay.nodes)
+        )
+        assert loop.time() - began < 0.4
+        assert engine.closed_connections >= closed
+
+
+async def test_a_request_is_forwarded_once_and_not_in_a_loop():
+    async with (
+        cut_relay(*[respond_with_id] * 4) as (relay, _),
+        contextlib.AsyncExitStack() as stack,
+    ):
+        cuts = [Cut(relay, node=n, mode="refuse") for n in (0, 1, 2)]
+        stack.enter_context(in_force(*cuts))
+        reply = await relay.call("/lookup/x")
+        assert reply.status == 503 and b'"ran":"no"' in reply.body
+        assert float(reply.headers["retry-after"]) > 0
+        assert not relay.received_count()
+        # Once all know that none reaches an engine, a refusal is immediate.
+        await relay.until(lambda: not relay.node.state.peers_that_reach("booking"))
+        assert await relay.readiness_status() == 503
+        attempts = sum(cut.attempts for cut in cuts)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        assert (await relay.call("/lookup/x", request_id="r2")).status == 503
+        assert loop.time() - began < 0.1
+        assert sum(cut.attempts for cut in cuts) - attempts <= 6
+
+
+async def test_direct_sends_are_back_a_second_after_the_cut():
+    async def slow(engine, request, writer) -> None:
+        await asyncio.sleep(0.1)
+        await respond_with_id(engine, request, writer)
+
+    async with cut_relay(*[slow] * 6, mode="hang") as (relay, cut):
+        for n in range(4):
+            await relay.call("/lookup/x", request_id=f"r{n}")
+        state = relay.node.state
+        await relay.until(lambda: state.unreachable_services())
+        cut.mode = ""
+        await asyncio.sleep(1.0)
+        assert not state.unreachable_services()
+        now = state.clock.monotonic()
+        assert all(record.backoff_until_s <= now for record in state.backends)
+        peers_ran = sum(forwards(node) for node in peers_of(relay))
+        replies = await asyncio.gather(
+            *(relay.call("/lookup/x", request_id=f"d{n}") for n in range(12))
+        )
+        assert {reply.status for reply in replies} == {200}
+        assert sum(forwards(node) for node in peers_of(relay)) == peers_ran
+        assert len({reply.body for reply in replies}) > 3
+
+
+async def test_a_forged_repeated_or_broken_message_is_refused_by_name():
+    async with cut_relay(*[respond_with_id] * 2, node_count=2) as (relay, _):
+        address = relay.nodes[1].settings.forward_listen
+        path = "/v1/forward/relay"
+        for header, reason in (
+            ("", b"malformed"),
+            ('{"key_id":1,"sender":"x"}', b"malformed"),
+            (
+                '{"key_id":1,"sender":"node-1","session":1,"to_session":1,'
+                f'"sequence":1,"tag":"{"0" * 32}"}}',
+                b"unknown_key",
+            ),
+        ):
+            reply = await call(
+                address,
+                path,
+                method="POST",
+                body=b"x",
+                headers=(f"X-Forward-Signature: {header}",),
+            )
+            assert reply.status == 403 and reason in reply.body, reply
+        assert (await call(address, "/other")).status == 404
+        assert not relay.received_count()
+
+
+async def test_a_leaving_engine_that_a_peer_found_gets_nothing_after_the_cut():
+    async with cut_relay(*[respond_with_id] * 2) as (relay, cut):
+        leaving = relay.engines[0]
+        leaving.leaving = True
+        for n in range(20):
+            await relay.call("/lookup/x", request_id=f"r{n}")
+            if leaving.received:
+                break
+        received = len(leaving.received)
+        assert received
+        cut.mode = ""
+        await relay.until(lambda: not relay.node.state.unreachable_services())
+        for n in range(10):
+            reply = await relay.call("/lookup/x", request_id=f"d{n}")
+            assert reply.body == b"i-1"
+        assert len(leaving.received) == received
+
+
+async def test_a_request_that_engines_refuse_draws_on_one_retry_budget():
+    async with cut_relay(*[shed_request] * 4) as (relay, _):
+        for n in range(20):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert reply.status == 503 and b'"ran":"no"' in reply.body
+        # Two attempts each at most, as the route says, over both nodes.
+        assert relay.received_count() <= 40
+        assert not relay.node.state.used_retry_extra()
+
+
+async def test_one_engine_that_is_down_is_no_reason_to_forward():
+    async with running_relay(*[respond_with_id] * 4, node_count=2) as relay:
+        await hear_peers(relay)
+        relay.engines[0].crash()
+        for n in range(20):
+            reply = await relay.call("/lookup/x", request_id=f"r{n}")
+            assert reply.status == 200
+        assert not forwards(relay.nodes[1])
+
+
+def peers_of(relay: Relay) -> list:
+    """Return the nodes that are not cut off."""
+    return relay.nodes[1:]
+
+
+def forwards(node) -> int:
+    """Return how many requests were forwarded to a node."""
+    return node._servers[1]._application._application.received
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
--- a/tests/test_relay_presence.py
+++ b/tests/test_relay_presence.py
@@ -59,7 +59,7 @@
 
 async def _announced():
     clock, store = ManualClock(), _Store()
-    settings = RelaySettings("n1", "zone-a", *["127.0.0.1:0"] * 5, bounds=RelayBounds())
+    settings = RelaySettings("n1", "zone-a", *["127.0.0.1:0"] * 6, bounds=RelayBounds())
     state = RelayState(settings, clock)
     task = asyncio.create_task(RelayPresenceTask(store, state, random.Random(3)).run())
     await _advance(clock, 0.1)
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -165,7 +165,7 @@
 
 
 def _node(name, clock):
-    settings = RelaySettings(name, "zone-a", *["127.0.0.1:0"] * 5, bounds=RelayBounds())
+    settings = RelaySettings(name, "zone-a", *["127.0.0.1:0"] * 6, bounds=RelayBounds())
     state = RelayState(settings, clock)
     datagrams = _FakeDatagrams(name=name)
     return state, datagrams, WatcherExchange(state, datagrams)
