Blame no request for the crash of a server that it was never sent to

What callers saw: nothing that was reported. Two such crashes quarantined a sound section of a prompt, or a sound request, and all requests with it were refused.

Cause: when an entry of a new incarnation arrived, all that ran under the id was attributed to the former one, also what was sent after the new one had started and before it was known.

Why it works: attempts keep the time at which they were sent. Those that are later than the new incarnation's start go over to it before the former one's end is recorded, as hold-offs and limits do. If the new one crashes, they are blamed for that.

--- a/src/tanagerkeel/quarantine.py
+++ b/src/tanagerkeel/quarantine.py
@@ -36,10 +36,11 @@
     death_hashes: tuple[str, ...] = ()
 
 
-@attrs.frozen
+@attrs.define
 class _RunningAttempt:
     fingerprint: str
     incarnation: str
+    sent_s: float
 
 
 @attrs.define
@@ -104,7 +105,12 @@
         )
 
     def record_start(
-        self, backend: str, attempt_id: str, fingerprint: str, incarnation: str = ""
+        self,
+        backend: str,
+        attempt_id: str,
+        fingerprint: str,
+        incarnation: str = "",
+        sent_s: float = 0.0,
     ) -> None:
         """
         Record the start of an attempt.
@@ -113,9 +119,23 @@
         :param attempt_id: id of the attempt.
         :param fingerprint: fingerprint of the request.
         :param incarnation: id of the server process that runs it; empty when unknown.
+        :param sent_s: when it was sent; monotonic, in seconds.
         """
         attempts = self._running_attempts.setdefault(backend, {})
-        attempts[attempt_id] = _RunningAttempt(fingerprint, incarnation)
+        attempts[attempt_id] = _RunningAttempt(fingerprint, incarnation, sent_s)
+
+    def carry_over(self, backend: str, known: str, new: str, started_s: float) -> None:
+        """
+        Attribute attempts to a new incarnation that was sent them before it was known.
+
+        :param backend: name of the backend server.
+        :param known: the incarnation that was known until now.
+        :param new: the one that replaced it.
+        :param started_s: when the new one started; monotonic, in seconds.
+        """
+        for attempt in self._running_attempts.get(backend, {}).values():
+            if attempt.incarnation == known and attempt.sent_s >= started_s:
+                attempt.incarnation = new
 
     def record_end(self, backend: str, attempt_id: str) -> None:
         """Record the end of an attempt."""
--- a/src/tanagerkeel/relay/_unstarted_attempts.py
+++ b/src/tanagerkeel/relay/_unstarted_attempts.py
@@ -10,6 +10,13 @@
 Incarnation = tuple[str, int]
 
 
+@attrs.define
+class _Attempt:
+    incarnation: Incarnation
+    sections: tuple[str, ...]
+    sent_s: float
+
+
 @attrs.define
 class UnstartedAttempts:
     """
@@ -19,27 +26,47 @@
     answer has begun has shown that its prompt can be answered.
     """
 
-    _sections: dict[Incarnation, dict[str, tuple[str, ...]]] = attrs.field(factory=dict)
+    _attempts: dict[str, _Attempt] = attrs.field(factory=dict)
 
     def add(
-        self, incarnation: Incarnation, attempt_id: str, sections: tuple[str, ...]
+        self,
+        incarnation: Incarnation,
+        attempt_id: str,
+        sections: tuple[str, ...],
+        sent_s: float,
     ) -> None:
         """
         Record that an attempt was sent.
 
-        :param incarnation: the backend server that runs it.
+        :param incarnation: the backend server that runs it, as far as is known.
         :param attempt_id: unique id of the attempt.
         :param sections: the shared sections of the request's prompt.
+        :param sent_s: when it was sent; monotonic, in seconds.
         """
-        self._sections.setdefault(incarnation, {})[attempt_id] = sections
+        self._attempts[attempt_id] = _Attempt(incarnation, sections, sent_s)
 
-    def discard(self, incarnation: Incarnation, attempt_id: str) -> None:
+    def discard(self, attempt_id: str) -> None:
         """Forget an attempt whose answer has begun, or that has ended."""
-        attempts = self._sections.get(incarnation, {})
-        attempts.pop(attempt_id, None)
-        if not attempts:
-            self._sections.pop(incarnation, None)
+        self._attempts.pop(attempt_id, None)
+
+    def carry_over(
+        self, known: Incarnation, new: Incarnation, started_s: float
+    ) -> None:
+        """
+        Attribute attempts to a new incarnation that was sent them before it was known.
+
+        :param known: the incarnation that was known until now.
+        :param new: the one that replaced it, with the same id.
+        :param started_s: when the new one started; monotonic, in seconds.
+        """
+        for attempt in self._attempts.values():
+            if attempt.incarnation == known and attempt.sent_s >= started_s:
+                attempt.incarnation = new
 
     def sections_of(self, incarnation: Incarnation) -> Iterator[tuple[str, ...]]:
         """Yield the shared sections of each attempt on a backend server."""
-        yield from self._sections.get(incarnation, {}).values()
+        return (
+            attempt.sections
+            for attempt in self._attempts.values()
+            if attempt.incarnation == incarnation
+        )
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -257,7 +257,7 @@
                 case ReplyLost():
                     ended_delay_s = LATE_CRASH_WINDOW_S
                     if outcome.failure is not SendFailure.BROKEN:
-                        self._state.unstarted.discard(server.incarnation, send_id)
+                        self._state.unstarted.discard(send_id)
             self._outcome_recorder.record(run, placement, outcome)
             return outcome
         finally:
@@ -267,15 +267,22 @@
             )
 
     def _record_sent(self, run: RelayRun, server: BackendServer, send_id: str) -> None:
+        sent_s = self._state.clock.monotonic()
         self._state.quarantine.record_start(
-            server.backend_id, send_id, run.fingerprint, str(server.started_ms)
+            server.backend_id,
+            send_id,
+            run.fingerprint,
+            str(server.started_ms),
+            sent_s,
         )
         if not run.events:
-            self._state.unstarted.add(server.incarnation, send_id, run.shared_sections)
+            self._state.unstarted.add(
+                server.incarnation, send_id, run.shared_sections, sent_s
+            )
 
     def _record_ended(self, server: BackendServer, send_id: str) -> None:
         self._state.quarantine.record_end(server.backend_id, send_id)
-        self._state.unstarted.discard(server.incarnation, send_id)
+        self._state.unstarted.discard(send_id)
 
     def _expected_assignments(
         self, run: RelayRun, placement: RelayPlacement, now: float
@@ -311,7 +318,7 @@
         send_id: str,
     ) -> None:
         now = self._state.clock.monotonic()
-        self._state.unstarted.discard(placement.candidate.server.incarnation, send_id)
+        self._state.unstarted.discard(send_id)
         self._state.section_quarantine.record_start(run.shared_sections, now)
         took_ms = 1_000 * (now - started_s)
         estimate = placement.estimate
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -608,8 +608,18 @@
         if not self.backends.put(server, revision, self.clock.monotonic()):
             return
         if replaced is not None and not replaced.same_incarnation(server):
-            self._record_end(replaced, was_expected)
             started_s = self._monotonic_start_s(server)
+            # What it was sent before it was known can't have ended the former one.
+            self.unstarted.carry_over(
+                replaced.incarnation, server.incarnation, started_s
+            )
+            self.quarantine.carry_over(
+                server.backend_id,
+                str(replaced.started_ms),
+                str(server.started_ms),
+                started_s,
+            )
+            self._record_end(replaced, was_expected)
             self.backends.carry_over_hold_off(replaced, server, started_s)
             self.rate_limits.carry_over(
                 replaced.incarnation, server.incarnation, started_s
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 import random
 
 from tanagerkeel.quarantine import Quarantine, QuarantineEntry
+from tanagerkeel.relay import UnstartedAttempts
 from tests.support import collect
 
 NOW = 100.0
@@ -116,5 +117,27 @@
     assert quarantine.remaining_s("q5999", NOW) > 0
 
 
+def test_a_crash_is_blamed_on_what_was_sent_before_the_next_start():
+    quarantine = Quarantine()
+    quarantine.record_start("e0", "before", "f-before", "1", 9.0)
+    quarantine.record_start("e0", "after", "f-after", "1", 11.0)
+    quarantine.carry_over("e0", "1", "2", 10.0)
+    quarantine.record_death("e0", 12.0, "1")
+    assert quarantine.suspected("f-before") and not quarantine.suspected("f-after")
+    quarantine.record_death("e0", 13.0, "2")
+    assert quarantine.suspected("f-after")
+
+
+def test_unstarted_attempts_follow_the_incarnation_that_runs_them():
+    attempts = UnstartedAttempts()
+    attempts.add(("e0", 1), "before", ("aa",), 9.0)
+    attempts.add(("e0", 1), "after", ("bb",), 11.0)
+    attempts.carry_over(("e0", 1), ("e0", 2), 10.0)
+    assert list(attempts.sections_of(("e0", 1))) == [("aa",)]
+    assert list(attempts.sections_of(("e0", 2))) == [("bb",)]
+    attempts.discard("after")
+    assert not list(attempts.sections_of(("e0", 2)))
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
