Let the soak test cut nodes off from all engines

Proof for RECOVER. Each node has links of its own to the engines, through an address that its view of the store names. A cut hangs connections, resets them, or lets old ones live on while new ones are refused; one or two of the three nodes at a time, beside the other faults or in a run of its own, which compares first tries at cut nodes with those at the others by the users' bounds. A mutant that forwards nothing is found.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -40,6 +40,7 @@
     response_head,
     route,
 )
+from tests.platform.soak_cuts import FirstTries
 from tests.platform.soak_eras import Owners
 from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
@@ -89,6 +90,9 @@
 RECOVERY_BOUND_S = 12.0
 # How long a crashed engine refuses connections, in seconds.
 CRASHED_S = 0.7
+# How long a node is cut off from all engines, and when it has noticed, in seconds.
+CUT_S = 4.0
+CUT_KNOWN_S = 1.5
 # How long after its return the store counts as stable, in seconds; then all nodes know
 # what was written again.
 SETTLE_S = 3.0
@@ -160,6 +164,7 @@
         in seconds.
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
+    :param first_tries: compares nodes that are cut off from all engines with others.
     :param limits: counts the requests to engines that name a limit.
     :param sections: counts the requests with a section that crashes engines.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
@@ -187,6 +192,7 @@
     rewritten_s: dict[str, float] = attrs.field(factory=dict)
     disturbed_s: dict[str, float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
+    first_tries: FirstTries = attrs.field(factory=FirstTries)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
     sections: SectionChecker = attrs.field(factory=SectionChecker)
     violations: list[str] = attrs.field(factory=list)
@@ -276,8 +282,14 @@
             self.violations.append(f"TWICE {name} ran {self.runs[name]} times")
         if response is None:
             self.outcomes["none"] += 1
+            self.first_tries.record(
+                self.node_by_request[name], self.sent_s[name], False
+            )
             return
         self._record_passed_on(name, response)
+        self.first_tries.record(
+            self.node_by_request[name], self.sent_s[name], response.status == 200
+        )
         self.outcomes[str(response.status) if response.complete else "cut"] += 1
         if (
             response.status in NOT_RUN_STATUSES
@@ -528,9 +540,11 @@
         the time.
     :param limits_first: likewise, whether one engine names a limit all the time.
     :param fault_rates: the share in force for each kind of fault.
-    :param links: the proxies before the store (first) and before each engine.
+    :param links: the proxies between each node and the store or an engine.
+    :param engine_links: those to the engines, by the node's name.
     :param eras_first: likewise, whether the store returns from older copies all the
         time, while versions of the configuration and backend servers change.
+    :param cuts_first: likewise, whether nodes are cut off from all engines in turn.
     :param version: version of the next configuration.
     :param newest_version: version of the newest configuration. Each has a route of its
         own, named after it.
@@ -553,10 +567,12 @@
     crashes_first: bool = False
     limits_first: bool = False
     eras_first: bool = False
+    cuts_first: bool = False
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
     links: list[Link] = attrs.field(factory=list)
+    engine_links: dict[str, list[Link]] = attrs.field(factory=dict)
     version: int = 2
     newest_version: int = 2
     owners: Owners = attrs.field(init=False)
@@ -564,6 +580,8 @@
     rng: random.Random = attrs.field(init=False)
     port_rng: random.Random = attrs.field(init=False, factory=random.Random)
     _fault_tasks: set[asyncio.Task] = attrs.field(init=False, factory=set)
+    _store_servers: list[HttpServer] = attrs.field(init=False, factory=list)
+    _expiries: list[asyncio.Task] = attrs.field(init=False, factory=list)
     # Numbers of the engines that leave, have no entry or asked to be held off. One such
     # fault at a time: the checks know engines by their ids, and a new incarnation of
     # an id starts without what the one before said.
@@ -582,21 +600,15 @@
 
     async def run(self) -> list[str]:
         """Run the test and return the violated guarantees."""
-        store_server = StoreServer(self.store)
-        server = HttpServer(store_server, "127.0.0.1", 0)
-        await server.start()
-        store_link = Link(server.address)
-        await store_link.start()
-        self.links.append(store_link)
-        expiry = asyncio.create_task(store_server.expire_leases())
         copies = asyncio.create_task(self.owners.keep_copies())
         try:
-            await self._start(store_link.address)
+            await self._start()
             await self._run_faults()
             await self._check_recovery()
         finally:
-            expiry.cancel()
             copies.cancel()
+            for expiry in self._expiries:
+                expiry.cancel()
             for node in self.nodes:
                 node.send_signal(signal.SIGCONT)
             await asyncio.gather(*(node.stop(signal.SIGTERM) for node in self.nodes))
@@ -604,10 +616,11 @@
                 await link.stop()
             for engine in self.engines:
                 await engine.stop()
-            await server.stop(0.0)
+            for server in self._store_servers:
+                await server.stop(0.0)
         return self.checker.violations
 
-    async def _start(self, store_address: str) -> None:
+    async def _start(self) -> None:
         for number in range(ENGINE_COUNT):
             script = engine_script(
                 self.checker,
@@ -617,10 +630,7 @@
             )
             engine = Engine(f"i-{number}", script)
             await engine.start()
-            link = Link(engine.address)
-            await link.start()
             self.engines.append(engine)
-            self.links.append(link)
             self._register(number)
         self._configure()
         host = _loopback_address(self.port_rng)
@@ -638,7 +648,7 @@
                 "metrics_listen": addresses[2],
                 "news_listen": addresses[3],
                 "forward_listen": addresses[4],
-                "platform": store_address,
+                "platform": await self._serve_store(f"node-{number}"),
                 "bounds": {"revoke_ms": int(REVOKE_BOUND_S * 1_000), "grace_s": 3.0},
                 "drain_delay_s": 0.3,
             }
@@ -656,6 +666,23 @@
             self.nodes.append(node)
         await self._wait_until_ready(RECOVERY_BOUND_S)
 
+    async def _serve_store(self, node: str) -> str:
+        """Start a node's links to the engines and the store; return the store's."""
+        links = [Link(engine.address) for engine in self.engines]
+        for link in links:
+            await link.start()
+        self.engine_links[node] = links
+        addresses = {link.target: link.address for link in links}
+        application = StoreServer(self.store, addresses)
+        self._expiries.append(asyncio.create_task(application.expire_leases()))
+        server = HttpServer(application, "127.0.0.1", 0)
+        await server.start()
+        self._store_servers.append(server)
+        store_link = Link(server.address)
+        await store_link.start()
+        self.links += [store_link, *links]
+        return store_link.address
+
     def _register(self, number: int) -> None:
         self.start_ms = max(self.start_ms + 1, int(1_000 * time.time()))
         service = "models" if number % 2 else "booking"
@@ -663,7 +690,6 @@
         entry = engine.store_entry(
             service, zone=f"zone-{'ab'[number // 2]}", born=self.start_ms
         )
-        entry["address"] = self.links[number + 1].address
         self.owners.write(f"servers/{engine.engine_id}", entry)
 
     def _configure(self) -> None:
@@ -694,6 +720,8 @@
             or self.limits_first
         ):
             await asyncio.sleep(self.seconds)
+        if self.cuts_first:
+            await self._cut_off_in_turn(end)
         if self.eras_first:
             await self._change_across_eras(end)
         if self.crashes_first:
@@ -746,6 +774,7 @@
                 "silent",
                 "lapse",
                 "era",
+                "isolate",
                 "answers",
                 "hold_off",
                 "crash",
@@ -755,19 +784,18 @@
             case "link":
                 link = self.rng.choice(self.links)
                 await link.inject(self.rng.choice(Link.MODES), duration_s)
-            case "down":
-                self.store.down = True
+            case "down" | "silent" as fault:
+                setattr(self.store, fault, True)
                 await asyncio.sleep(duration_s)
-                self.store.down = False
-            case "silent":
-                self.store.silent = True
-                await asyncio.sleep(duration_s)
-                self.store.silent = False
+                setattr(self.store, fault, False)
             case "lapse":
                 self.store.expire_all_leases()
                 self.store.history_lost = True
             case "era":
                 await self.owners.return_from_copy()
+            case "isolate":
+                node = self.rng.choice(self.nodes)
+                await self._cut_off(node.name, self.rng.choice(Link.CUT_MODES), 2.0)
             case "crash":
                 await self._send_crashing_requests(2 * duration_s)
             case "limit":
@@ -826,10 +854,38 @@
         return True
 
     async def _restart_engine(self, number: int) -> None:
-        await self.links[number + 1].refuse_connections(CRASHED_S)
+        await asyncio.gather(
+            *(
+                links[number].refuse_connections(CRASHED_S)
+                for links in self.engine_links.values()
+            )
+        )
         self._register(number)
         self._busy_engines.discard(number)
 
+    async def _cut_off(self, node: str, mode: str, duration_s: float) -> None:
+        """Cut a node off from all engines, but from nothing else."""
+        links = self.engine_links[node]
+        await asyncio.gather(*(link.cut(mode, duration_s) for link in links))
+
+    async def _cut_off_in_turn(self, end_s: float) -> None:
+        """Cut off one node or two in each way, and check what callers get there."""
+        number = 0
+        while time.monotonic() < end_s:
+            mode = Link.CUT_MODES[number % len(Link.CUT_MODES)]
+            cut = [node.name for node in self.rng.sample(self.nodes, 1 + number % 2)]
+            number += 1
+            cutting = [
+                self._start_fault(self._cut_off(name, mode, CUT_S)) for name in cut
+            ]
+            await asyncio.sleep(CUT_KNOWN_S)
+            self.checker.first_tries.begin(cut, time.monotonic())
+            await asyncio.gather(*cutting)
+            summary = self.checker.first_tries.end()
+            if summary:
+                self.add_violation(f"RECOVER {mode} of {cut}: {summary}")
+            await asyncio.sleep(1.0)
+
     async def _change_across_eras(self, end_s: float) -> None:
         """Change entries before or after returns of the store, and check them later."""
         number = 0
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import socket
 import time
 import urllib.parse
 from typing import ClassVar
@@ -22,6 +23,8 @@
 
 READ_BYTES = 65_536
 LEASE_CHECK_INTERVAL_S = 0.2
+# Connections that fill a queue of length 0.
+QUEUE_FILLERS = 3
 
 
 @attrs.define(eq=False)
@@ -38,6 +41,9 @@
     """
 
     MODES: ClassVar[tuple[str, ...]] = ("delay", "reset", "silence", "one_way")
+    # How a link is cut: connections hang, are reset or live on. New ones hang in the
+    # first case and are refused in the others.
+    CUT_MODES: ClassVar[tuple[str, ...]] = ("hang", "reset", "live_on")
 
     target: str
     mode: str = ""
@@ -57,10 +63,29 @@
 
     async def refuse_connections(self, duration_s: float) -> None:
         """End all connections and refuse new ones, as when the target crashes."""
+        await self.cut("reset", duration_s)
+
+    async def cut(self, mode: str, duration_s: float) -> None:
+        """
+        Cut the link for a number of seconds.
+
+        :param mode: one of :attr:`CUT_MODES`.
+        """
+        if not self._server.is_serving():
+            # It is cut already.
+            return
         self._server.close()
-        self._abort_connections()
-        await asyncio.sleep(duration_s)
         host, _, port = self._address.rpartition(":")
+        if mode == "reset":
+            self._abort_connections()
+        with contextlib.ExitStack() as stack:
+            if mode == "hang":
+                self.mode = "silence"
+                _drop_new_connections(stack, (host, int(port)))
+            await asyncio.sleep(duration_s)
+        if mode == "hang":
+            self.mode = ""
+            self._abort_connections()
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
@@ -137,15 +162,32 @@
             writer.close()
 
 
+def _drop_new_connections(
+    stack: contextlib.ExitStack, address: tuple[str, int]
+) -> None:
+    """Let connections to an address hang: its queue of new connections is full."""
+    listener = stack.enter_context(socket.socket())
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(0)
+    for _ in range(QUEUE_FILLERS):
+        filler = stack.enter_context(socket.socket())
+        filler.setblocking(False)
+        filler.connect_ex(address)
+
+
 @attrs.define(eq=False)
 class StoreServer:
     """
     An ASGI application with the HTTP interface of the platform's store.
 
     :param store: the in-memory store that it serves.
+    :param addresses: replaces addresses of backend servers in their entries, so that
+        each node can have links of its own to them.
     """
 
     store: MemoryStore
+    addresses: dict[str, str] = attrs.field(factory=dict)
     _deadlines_s: dict[int, float] = attrs.field(factory=dict)
     _ttl_s: dict[int, float] = attrs.field(factory=dict)
 
@@ -195,10 +237,10 @@
         match path.split("/")[1:]:
             case ["kv-key"]:
                 entry = await store.get(query["key"])
-                return (200, _encode_entry(entry)) if entry else (404, {})
+                return (200, self._encode(entry)) if entry else (404, {})
             case ["kv-range"]:
                 listing = await store.list_all(query["prefix"])
-                items = list(map(_encode_entry, listing.entries))
+                items = list(map(self._encode, listing.entries))
                 return 200, {
                     "items": items,
                     "hasMore": False,
@@ -209,7 +251,7 @@
                     query["prefix"], int(query["after"]), int(query["waitMs"])
                 )
                 events = [
-                    _encode_entry(e)
+                    self._encode(e)
                     if isinstance(e, StoreEntry)
                     else {"key": e, "revision": changes.revision, "deleted": True}
                     for e in changes.events
@@ -247,10 +289,15 @@
     def _renew(self, lease_id: int) -> None:
         self._deadlines_s[lease_id] = time.monotonic() + self._ttl_s[lease_id]
 
-
-def _encode_entry(entry: StoreEntry) -> dict:
-    return {
-        "key": entry.key,
-        "value": base64.b64encode(entry.value).decode(),
-        "revision": entry.revision,
-    }
+    def _encode(self, entry: StoreEntry) -> dict:
+        value = entry.value
+        if entry.key.startswith("servers/"):
+            fields = json.loads(value)
+            address = fields["address"]
+            fields["address"] = self.addresses.get(address, address)
+            value = json.dumps(fields).encode()
+        return {
+            "key": entry.key,
+            "value": base64.b64encode(value).decode(),
+            "revision": entry.revision,
+        }
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -152,5 +152,18 @@
         )
 
 
+def test_nodes_that_are_cut_off_from_all_engines_serve_first_tries():
+    checker = _run(seconds=16.0, cuts_first=True)
+    assert not checker.violations, checker.violations
+
+
+def test_a_node_that_refuses_what_its_peers_could_serve_is_detected():
+    program = str(MUTANTS / "forwards_nothing.py")
+    checker = _run(seconds=8.0, program=program, fault_rate=0.0, cuts_first=True)
+    assert any(line.startswith("RECOVER") for line in checker.violations), (
+        checker.violations[:3]
+    )
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
