Decide early whether a service is out of reach, and keep rings of signing keys

Both are asked for in each update to the peers: the first walked through all servers of a service, the second derived the keys' ids for each datagram.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -538,12 +538,14 @@
         That is the case when, for each usable one, the last attempt to reach it failed
         with no data since, or its whole failure domain is cut off.
         """
-        usable = list(self.usable(service, now))
-        return bool(usable) and all(
-            b.last_unreachable_s > b.last_data_s
-            or self._reach.cut_off(b.server.failure_domain, now)
-            for b in usable
-        )
+        any_usable = False
+        for record in self.usable(service, now):
+            any_usable = True
+            if record.last_unreachable_s <= record.last_data_s and not (
+                self._reach.cut_off(record.server.failure_domain, now)
+            ):
+                return False
+        return any_usable
 
     def new_connections_fail(self, service: str, now: float) -> bool:
         """
--- a/src/tanagerkeel/relay_entry/_signing_keys.py
+++ b/src/tanagerkeel/relay_entry/_signing_keys.py
@@ -30,6 +30,8 @@
     """
 
     _secrets: tuple[bytes, ...] = attrs.field(default=(), repr=False)
+    # The keys, signing with the one before the newest, and with the newest.
+    _rings: tuple[KeyRing | None, KeyRing | None] = (None, None)
     _sign_with_newest_s: float = float("-inf")
 
     @property
@@ -54,15 +56,16 @@
         if self._secrets:
             self._sign_with_newest_s = now + CHANGE_DELAY_S
         self._secrets = (*self._secrets[-1:], secret)
+        by_id = {_key_id(secret): secret for secret in self._secrets}
+        self._rings = tuple(
+            KeyRing(by_id, _key_id(self._secrets[index])) for index in (0, -1)
+        )
         return True
 
     def ring(self, now: float) -> KeyRing | None:
         """Return the keys in use; None before the first."""
-        if not self._secrets:
-            return None
-        signing = self._secrets[-1 if now >= self._sign_with_newest_s else 0]
-        by_id = {_key_id(secret): secret for secret in self._secrets}
-        return KeyRing(by_id, _key_id(signing))
+        before, newest = self._rings
+        return newest if now >= self._sign_with_newest_s else before
 
 
 @attrs.frozen
