Judge a service by failures in up to three failure domains; forward HEAD requests whole

With many failure domains, three probes in 0.4 s can't fail in each of them within two seconds, so that a node of a large deployment would never find its services out of reach for new connections. Failures in three domains are enough now, and probes go to different ones.

A response without a body keeps its length when it is forwarded: between the nodes it is the response to a POST, and a Content-Length without a body broke the connection off.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -12,7 +12,11 @@
 
 from tanagerkeel.relay._domain_reach import DomainReachability
 from tanagerkeel.relay._hold_off import HoldOffTable
-from tanagerkeel.relay._service_reach import OUT_OF_REACH_FAILURES, ServiceReach
+from tanagerkeel.relay._service_reach import (
+    OUT_OF_REACH_DOMAINS,
+    OUT_OF_REACH_FAILURES,
+    ServiceReach,
+)
 
 __all__ = [
     "BackendServer",
@@ -551,8 +555,9 @@
         """
         Return whether no new connection to a service's backend servers comes up.
 
-        That is the case when connections to several in a row, in each of their failure
-        domains, did not come up. Older connections may still work.
+        That is the case when connections to several in a row, in several failure
+        domains or all that they have, did not come up. Older connections may still
+        work.
         """
         failed = self._service_reach.failed(service, now)
         if len(failed) < OUT_OF_REACH_FAILURES:
@@ -560,7 +565,8 @@
         usable = [b.server for b in self.usable(service, now)]
         domains = {server.failure_domain for server in usable}
         failed_domains = {s.failure_domain for s in usable if s.backend_id in failed}
-        return bool(domains) and domains == failed_domains
+        needed = min(len(domains), OUT_OF_REACH_DOMAINS)
+        return bool(domains) and len(failed_domains) >= needed
 
     def domain_suspected(self, domain: str, now: float) -> bool:
         """Return whether new work should avoid a failure domain that may be cut off."""
--- a/src/tanagerkeel/relay/_service_reach.py
+++ b/src/tanagerkeel/relay/_service_reach.py
@@ -8,11 +8,14 @@
 
 import attrs
 
-__all__ = ["OUT_OF_REACH_FAILURES", "ServiceReach"]
+__all__ = ["OUT_OF_REACH_DOMAINS", "OUT_OF_REACH_FAILURES", "ServiceReach"]
 
 # Number of backend servers to which no connection came up, one after the other, from
 # which on a service may be out of reach. One or two may just have crashed.
 OUT_OF_REACH_FAILURES = 3
+# Number of failure domains that these are in, or all that the service has: a single one
+# may be cut off from this node's.
+OUT_OF_REACH_DOMAINS = 3
 # Failures that are older than this don't count, in seconds. Probes of a service that is
 # out of reach repeat them within this time.
 FAILURE_TTL_S = 2.0
--- a/src/tanagerkeel/relay_entry/_forward_intake.py
+++ b/src/tanagerkeel/relay_entry/_forward_intake.py
@@ -21,6 +21,7 @@
 from tanagerkeel.relay_entry._forward_messages import (
     BACKEND_HEADER,
     FORWARD_PATH,
+    LENGTH_HEADER,
     ForwardedRequest,
     encode_backend,
 )
@@ -49,8 +50,13 @@
 
 @attrs.define
 class _ForwardReply(AsgiReply):
-    """Names the backend server, for the node that forwarded the request."""
+    """
+    Adds what the node that forwarded the request has to know.
+
+    :param bodiless: whether the response has no body, as one to HEAD.
+    """
 
+    bodiless: bool = False
     _backend: BackendServer | None = None
 
     def name_backend(self, server: BackendServer) -> None:
@@ -60,6 +66,11 @@
         refused = (b"content-type", PROBLEM_MEDIA_TYPE.encode()) in headers
         if self._backend is not None and not refused:
             headers = (*headers, (BACKEND_HEADER, encode_backend(self._backend)))
+        if self.bodiless and not refused:
+            headers = tuple(
+                (LENGTH_HEADER if name == b"content-length" else name, value)
+                for name, value in headers
+            )
         await super().start(status, headers)
 
 
@@ -107,7 +118,9 @@
             return Refusal(ResultCode.FORWARD_REFUSED, reason, OTHER_NODE_RETRY_S)
         return None
 
-    async def _serve(self, scope: Event, receive: Receive, reply: CallerReply) -> None:
+    async def _serve(
+        self, scope: Event, receive: Receive, reply: _ForwardReply
+    ) -> None:
         body = await self._read(receive)
         if body is None:
             # The peer disconnected, or sent more than it may.
@@ -133,6 +146,7 @@
             await self._respond(reply, STATUS_FORBIDDEN, str(error).encode())
             return
         self.received += 1
+        reply.bodiless = forwarded.request.method == "HEAD"
         await self._handler.serve_forwarded(forwarded, sender, reply)
 
     async def _read(self, receive: Receive) -> bytes | None:
--- a/src/tanagerkeel/relay_entry/_forward_messages.py
+++ b/src/tanagerkeel/relay_entry/_forward_messages.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "BACKEND_HEADER",
+    "LENGTH_HEADER",
     "FORWARD_PATH",
     "ForwardedRequest",
     "decode_backend",
@@ -17,6 +18,9 @@
 FORWARD_PATH = "/v1/forward/relay"
 # Header of the response that names the backend server it comes from.
 BACKEND_HEADER = b"x-forward-backend"
+# Header with the Content-Length of a response without a body, such as one to HEAD; the
+# forwarded request itself is a POST.
+LENGTH_HEADER = b"x-forward-length"
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -25,6 +25,7 @@
 from tanagerkeel.relay_entry._forward_messages import (
     BACKEND_HEADER,
     FORWARD_PATH,
+    LENGTH_HEADER,
     ForwardedRequest,
     decode_backend,
 )
@@ -273,7 +274,13 @@
 
     def decode(self, raw: RawHead) -> ReplyHead:
         head = self._codec.decode(raw)
-        headers = tuple(h for h in head.headers if h[0] != BACKEND_HEADER)
+        given_length = any(name == LENGTH_HEADER for name, _ in head.headers)
+        dropped = {BACKEND_HEADER, *([b"content-length"] if given_length else [])}
+        headers = tuple(
+            (b"content-length" if name == LENGTH_HEADER else name, value)
+            for name, value in head.headers
+            if name not in dropped
+        )
         values = [value for name, value in head.headers if name == BACKEND_HEADER]
         if values:
             self.backend = decode_backend(values[0])
--- a/src/tanagerkeel/relay_entry/_reachability_task.py
+++ b/src/tanagerkeel/relay_entry/_reachability_task.py
@@ -58,11 +58,17 @@
             unreachable = self._state.out_of_reach(service, now)
             if unreachable:
                 usable = [b.server for b in self._state.backends.usable(service, now)]
-                unreachable = not await self._probe(
-                    self._random.sample(usable, min(MAX_PROBED, len(usable)))
-                )
+                unreachable = not await self._probe(self._sample(usable))
             self._record_reachability(service, unreachable, now)
 
+    def _sample(self, servers: list[BackendServer]) -> list[BackendServer]:
+        """Choose some backend servers, of different failure domains if possible."""
+        shuffled = self._random.sample(servers, len(servers))
+        first_of_domain = {s.failure_domain: s for s in reversed(shuffled)}.values()
+        others = [s for s in shuffled if s not in first_of_domain]
+        spread = self._random.sample(list(first_of_domain), len(first_of_domain))
+        return [*spread, *others][:MAX_PROBED]
+
     async def _probe(self, servers: Iterable[BackendServer]) -> bool:
         """Connect to the backend servers; return whether any connection came up."""
         return any(await asyncio.gather(*map(self._connect, servers)))
