--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1024,14 +1024,16 @@
                     )
             return
         await self._check_version()
-        success_count = 0
+        statuses = []
         for number, node in enumerate(self.nodes):
             call = Call(f"last-{number}", "lookup", KEYS[0], 0.0)
             await self._call(call, node)
             self.checker.check_response(call)
-            success_count += call.response is not None and call.response.status == 200
-        if not success_count:
-            self.add_violation("RECOVER no request is served after the last fault")
+            statuses.append(call.response.status if call.response else None)
+        if 200 not in statuses:
+            self.add_violation(
+                f"RECOVER no request is served after the last fault: {statuses}"
+            )
 
     def add_violation(self, reason: str) -> None:
         self.checker.violations.append(reason)
