Test two returns of the store in a row, invalid versions, revoked keys and bounds

Cases across eras of the store: two returns in a row, an invalid version before the valid one, a key that the copy still has. What peers forward is bounded in bytes and number.

--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from tanagerkeel.gateways.exchange import ConnectError, ConnectionPool
+from tanagerkeel.relay_entry import _forward_intake
 from tests.platform.fixtures import (
     CHUNKED_HEADERS,
     Engine,
@@ -391,6 +392,21 @@
         assert not relay.received_count()
 
 
+async def test_what_peers_forward_is_bounded_in_bytes_and_number():
+    async with cut_relay(*[respond_with_id] * 2, node_count=2) as (relay, _):
+        address = relay.nodes[1].settings.forward_listen
+        options = {"method": "POST", "headers": ("X-Forward-Signature: {}",)}
+        huge = b"x" * (65_536 + _forward_intake.MAX_ENVELOPE_BYTES + 1)
+        reply = await call(address, "/v1/forward/relay", body=huge, **options)
+        assert reply.status == 0
+        with unittest.mock.patch.object(_forward_intake, "MAX_OPEN", 0):
+            reply = await call(address, "/v1/forward/relay", body=b"x", **options)
+            assert reply.status == 503 and b'"TK-7003"' in reply.body
+            assert b'"ran":"no"' in reply.body
+            assert (await relay.call("/lookup/x")).status == 503
+        assert (await relay.call("/lookup/x", request_id="r2")).status == 200
+
+
 async def test_a_leaving_engine_that_a_peer_found_gets_nothing_after_the_cut():
     async with cut_relay(*[respond_with_id] * 2) as (relay, cut):
         leaving = relay.engines[0]
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -124,6 +124,67 @@
         assert await bodies_of_lookups(relay) == {b"i-1"}
 
 
+async def test_two_returns_in_a_row_leave_the_newest_version_in_force():
+    async with relay_over_http(respond_with_id) as relay:
+        store = relay.store
+        copy = store.copy()
+        store.write("op/config", configuration(5))
+        await relay.until(lambda: version_in_force(relay) == 5)
+        known = await write_again(relay)
+        async with outage(relay):
+            store.restore(copy)
+        await relay.until(lambda: era_of(relay) == 2)
+        async with outage(relay):
+            store.restore(copy)
+            store.write("op/config", configuration(6))
+            pass_revision(relay, known)
+        # The copies hold version 2, which is never in force again.
+        versions = set()
+        while version_in_force(relay) != 6:
+            versions.add(version_in_force(relay))
+            await asyncio.sleep(0.01)
+        assert versions <= {5} and era_of(relay) <= 3
+
+
+async def test_an_invalid_version_in_a_new_era_leaves_the_known_one_in_force():
+    async with relay_over_http(respond_with_id) as relay:
+        store = relay.store
+        copy = store.copy()
+        await write_again(relay)
+        async with outage(relay):
+            store.restore(copy)
+            store.write("op/config", b'{"version": 9, "routes": 1}')
+        await relay.until(lambda: era_of(relay) == 2)
+        assert version_in_force(relay) == 2
+        assert (await relay.call("/lookup/x")).status == 200
+        added = configuration(10)
+        added["routes"].append(ADDED_ROUTE)
+        store.write("op/config", added)
+        await relay.until(lambda: version_in_force(relay) == 10)
+        assert (await relay.call("/added/x")).status == 200
+
+
+async def test_a_key_that_is_revoked_across_an_era_is_refused():
+    async with relay_over_http(respond_with_id) as relay:
+        store = relay.store
+        copy = store.copy()
+        accounts = [{"name": "acme", "apiKeys": ["another"], "priority": 1}]
+        revoked = configuration(5, tenants=accounts)
+        store.write("op/config", revoked)
+        await relay.until(lambda: version_in_force(relay) == 5)
+        known = await write_again(relay)
+        async with outage(relay):
+            # The copy still has the key, and the operator has not written again.
+            store.restore(copy)
+            pass_revision(relay, known)
+        await relay.until(lambda: era_of(relay) == 2)
+        assert (await relay.call("/lookup/x")).status == 401
+        store.write("op/config", revoked)
+        await write_again(relay)
+        assert (await relay.call("/lookup/x")).status == 401
+        assert not relay.received_count()
+
+
 async def test_a_new_era_that_another_call_finds_first_ends_the_watch():
     async with relay_over_http(respond_with_id) as relay:
         store = relay.store
