--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -123,7 +123,7 @@
 
     :param server: its newest entry.
     :param revision: the platform's revision of that entry.
-    :param era: the era of the store to which the revision belongs.
+    :param era_index: index of the era of the store to which the revision belongs.
     :param proven_s: from when on its entry proves that it runs; see ``ENTRY_PROOF_S``.
     :param updated_s: when the entry arrived.
     :param cold_until_s: when its cold start ends.
@@ -147,7 +147,7 @@
     server: BackendServer
     revision: int
     updated_s: float
-    era: int = 0
+    era_index: int = 0
     proven_s: float = float("-inf")
     cold_until_s: float = 0.0
     missing_since_s: float | None = None
@@ -182,13 +182,13 @@
     A backend server whose entry was deleted.
 
     :param revision: the last known revision of its entry.
-    :param era: the era of the store in which the entry was deleted.
+    :param era_index: index of the era of the store in which the entry was deleted.
     :param dropped_s: when it was dropped; monotonic, in seconds.
     :param drained: whether it had said that it takes no new work.
     """
 
     revision: int
-    era: int
+    era_index: int
     dropped_s: float
     drained: bool
 
@@ -219,7 +219,9 @@
     # Incarnations that were dropped within ``DROPPED_TTL_S``.
     _dropped: dict[tuple[str, int], _Dropped] = attrs.field(factory=dict)
     _domains_out: set[str] = attrs.field(factory=set)
-    _era: int = 0
+    # How many eras of the store have begun while this node ran, which is not the number
+    # that the store gives to its era.
+    _era_index: int = 0
     _reach: DomainReachability = attrs.field(factory=DomainReachability)
     _service_reach: ServiceReach = attrs.field(factory=ServiceReach)
     _store_unreachable: bool = False
@@ -262,7 +264,7 @@
 
     def begin_store_era(self, now: float) -> None:
         """Record that the platform's store has returned from an older copy."""
-        self._era += 1
+        self._era_index += 1
         # Entries are written again as after an outage, which may have gone unnoticed.
         self._store_recovered_s = now
 
@@ -271,28 +273,29 @@
         Store a backend server's entry; return whether that changed anything.
 
         :param server: the entry.
-        :param revision: the platform's revision of the entry; one that is older than
-            the known revision is ignored.
+        :param revision: the platform's revision of the entry. In the era of the known
+            revision, a lower one is ignored; in a later era, the entry may be older or
+            newer than what is known, and what ends work wins.
         """
         record = self._records.get(server.backend_id)
         if record is None:
             self._add(server, revision, now)
             return True
-        ambiguous = record.era != self._era and revision <= record.revision
+        ambiguous = record.era_index != self._era_index and revision <= record.revision
         if not record.server.same_incarnation(server):
             if ambiguous and server.started_ms < record.server.started_ms:
                 # The copy has the incarnation that the known one has replaced.
                 record.mark_missing(now)
                 return False
-            if record.era == self._era and revision < record.revision:
+            if record.era_index == self._era_index and revision < record.revision:
                 return False
             self._add(server, revision, now)
             return True
         record.missing_since_s = None
-        if record.era == self._era and revision <= record.revision:
+        if record.era_index == self._era_index and revision <= record.revision:
             return False
         record.revision = revision
-        record.era = self._era
+        record.era_index = self._era_index
         if ambiguous and record.server.state is ServerState.DRAINING:
             server = attrs.evolve(server, state=ServerState.DRAINING)
         if ambiguous and server == record.server:
@@ -307,11 +310,11 @@
 
     def _add(self, server: BackendServer, revision: int, now: float) -> None:
         dropped = self._dropped.pop(server.incarnation, None)
-        record = BackendRecord(server, revision, now, self._era)
+        record = BackendRecord(server, revision, now, self._era_index)
         record.cold_until_s = now + server.cold_ms / 1_000
         if (
             dropped is not None
-            and dropped.era != self._era
+            and dropped.era_index != self._era_index
             and revision <= dropped.revision
         ):
             record.proven_s = now + ENTRY_PROOF_S
@@ -328,7 +331,7 @@
         }
         drained = record.server.state is ServerState.DRAINING
         self._dropped[record.server.incarnation] = _Dropped(
-            record.revision, self._era, now, drained
+            record.revision, self._era_index, now, drained
         )
 
     def remove(self, backend_id: str, now: float) -> bool:
