--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -156,15 +156,15 @@
 
     def _make_response(self, connection: BackendConnection) -> ResponseRelay:
         return ResponseRelay(
-            self._run,
-            connection,
-            self._codec,
-            self._state.clock,
-            self._placement.estimate.first_ms / 1_000,
-            self._acquire_retry,
-            self._record_head,
-            lambda: self._state.record_data(self.server),
-            self._on_first_output,
+            run=self._run,
+            connection=connection,
+            codec=self._codec,
+            clock=self._state.clock,
+            expected_s=self._placement.estimate.first_ms / 1_000,
+            acquire_retry=self._acquire_retry,
+            on_head=self._record_head,
+            on_data=lambda: self._state.record_data(self.server),
+            on_first_output=self._on_first_output,
         )
 
     def _record_head(self, head: ReplyHead) -> bool:
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -194,22 +194,24 @@
         signature = self._signer.sign(address, FORWARD_PATH, body)
         sent_s = self._state.clock.monotonic()
         complete = False
-        codec_of_peer = _PeerCodec(self._codec)
+        peer_codec = _PeerCodec(self._codec)
         try:
             connection.send(_encode_post(address, signature, body))
             response = ResponseRelay(
-                run,
-                connection,
-                codec_of_peer,
-                self._state.clock,
-                0.0,
+                run=run,
+                connection=connection,
+                codec=peer_codec,
+                clock=self._state.clock,
+                expected_s=0.0,
                 # The peer itself notices when its backend server is silent.
-                lambda: False,
-                lambda head: self._record_head(head, codec_of_peer.backend, sent_s),
-                lambda: None,
-                lambda: None,
-                lambda head: (
-                    codec_of_peer.backend is None or head.status >= SERVER_ERROR_STATUS
+                acquire_retry=lambda: False,
+                on_head=lambda head: self._record_head(
+                    head, peer_codec.backend, sent_s
+                ),
+                on_data=lambda: None,
+                on_first_output=lambda: None,
+                withholds=lambda head: (
+                    peer_codec.backend is None or head.status >= SERVER_ERROR_STATUS
                 ),
             )
             outcome = await response.receive()
@@ -221,7 +223,7 @@
                 # Also makes the peer stop when the caller has disconnected.
                 connection.abort()
         match outcome:
-            case ErrorReply() if codec_of_peer.backend is not None:
+            case ErrorReply() if peer_codec.backend is not None:
                 return outcome
             case ErrorReply() if outcome.head.status == STATUS_CONFLICT:
                 self._signer.set_session(address, _decode_session(outcome.body))
