--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -17,6 +17,7 @@
 from tanagerkeel.gateways.http_client import WholeResponse
 from tanagerkeel.gateways.http_server import HttpServer
 from tanagerkeel.gateways.platform import PlatformUnavailable
+from tanagerkeel.relay_entry import RelayBounds
 from tests.platform.fixtures import (
     ANY_PORT,
     MemoryStore,
@@ -185,6 +186,25 @@
         assert not relay.received_count()
 
 
+async def test_a_revocation_that_the_store_lost_counts_from_its_first_write():
+    bounds = RelayBounds(grace_s=3.0, revoke_ms=1_500)
+    async with relay_over_http(respond_with_id, bounds=bounds) as relay:
+        store, clock = relay.store, relay.node.state.clock
+        copy = store.copy()
+        accounts = [{"name": "acme", "apiKeys": ["another"], "priority": 1}]
+        revoked = configuration(5, tenants=accounts)
+        async with outage(relay):
+            # Acknowledged while this node is out of touch, and lost with the copy.
+            store.write("op/config", revoked)
+            revoked_s = clock.monotonic()
+            store.restore(copy)
+        await relay.until(lambda: not relay.node.state.backends.store_unreachable)
+        async with outage(relay):
+            store.write("op/config", revoked)
+            await asyncio.sleep(max(0.0, revoked_s + 1.55 - clock.monotonic()))
+            assert (await relay.call("/lookup/x")).status != 200
+
+
 async def test_a_new_era_that_another_call_finds_first_ends_the_watch():
     async with relay_over_http(respond_with_id) as relay:
         store = relay.store
