--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -281,6 +281,7 @@
         if record is None:
             self._add(server, revision, now)
             return True
+        # The revision may have been given out before what is known, or again after it.
         ambiguous = record.era_index != self._era_index and revision <= record.revision
         if not record.server.same_incarnation(server):
             if ambiguous and server.started_ms < record.server.started_ms:
@@ -317,6 +318,7 @@
             and dropped.era_index != self._era_index
             and revision <= dropped.revision
         ):
+            # The entry may have been written before the server was dropped.
             record.proven_s = now + ENTRY_PROOF_S
             if dropped.drained:
                 record.server = attrs.evolve(server, state=ServerState.DRAINING)
