--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -197,6 +197,7 @@
             # Acknowledged while this node is out of touch, and lost with the copy.
             store.write("op/config", revoked)
             revoked_s = clock.monotonic()
+            await asyncio.sleep(0.5)
             store.restore(copy)
         await relay.until(lambda: not relay.node.state.backends.store_unreachable)
         async with outage(relay):
