Give nodes time to follow before the soak test checks the newest version

The check, which is new with the returns of the store, came as soon as the last fault had ended, and the last fault may be a change of the configuration; nodes may take two seconds for it, and a node whose last call returned changes pauses for 0.6 s. Routes and nodes that are checked are unchanged. The message names the status.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -928,10 +928,11 @@
             self._probes += 1
             call = Call(f"probe-{self._probes}", f"v{self.newest_version}", KEYS[0], 0)
             await self._call(call, node)
-            if call.response is None or call.response.status == 404:
+            status = call.response.status if call.response else None
+            if status in (None, 404):
                 self.add_violation(
                     f"CONFIG {node.name} doesn't serve the route of version "
-                    f"{self.newest_version}"
+                    f"{self.newest_version}: status {status}"
                 )
 
     async def _send_crashing_requests(self, duration_s: float) -> None:
@@ -1021,6 +1022,9 @@
                         f"RECOVER {node.name} isn't ready: {node.exit_summary()}"
                     )
             return
+        # The last fault may have been a change of the configuration or a return of the
+        # store, after which nodes have time to follow.
+        await asyncio.sleep(SETTLE_S)
         await self._check_version()
         statuses = []
         for number, node in enumerate(self.nodes):
