Let the links of the soak test keep their ports while they are cut

Links now listen on the run's own loopback address, at ports that no outgoing connection takes, as the nodes do.

--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -700,6 +700,11 @@
 PEERS_HOST = loopback_address(_port_rng)
 
 
+def free_address() -> str:
+    """Return an ``IP:PORT`` that nothing takes, also while nothing listens there."""
+    return f"{PEERS_HOST}:{free_port(_port_rng, PEERS_HOST, _taken_ports)}"
+
+
 def _make_node(store: WatchedStore, node_id: str, bounds: RelayBounds) -> RelayNode:
     settings = RelaySettings(
         node_id=node_id,
@@ -708,8 +713,8 @@
         readiness_listen=ANY_PORT,
         metrics_listen=ANY_PORT,
         # Peers are told this address, so it can't be chosen when it is bound.
-        news_listen=f"{PEERS_HOST}:{free_port(_port_rng, PEERS_HOST, _taken_ports)}",
-        forward_listen=f"{PEERS_HOST}:{free_port(_port_rng, PEERS_HOST, _taken_ports)}",
+        news_listen=free_address(),
+        forward_listen=free_address(),
         platform="127.0.0.1:1",
         bounds=bounds,
         drain_delay_s=0.0,
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -19,7 +19,7 @@
     StoreEntry,
 )
 from tests.fixtures import abort_with_reset
-from tests.platform.fixtures import MemoryStore
+from tests.platform.fixtures import MemoryStore, free_address
 
 READ_BYTES = 65_536
 LEASE_CHECK_INTERVAL_S = 0.2
@@ -57,9 +57,9 @@
         return self._address
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self._address = f"{host}:{port}"
+        self._address = free_address()
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def refuse_connections(self, duration_s: float) -> None:
         """End all connections and refuse new ones, as when the target crashes."""
