--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -43,7 +43,7 @@
 # Interval at which a node checks whether the platform answers again, in seconds.
 OUTAGE_POLL_S = 0.1
 # When the store has returned from an older copy, all nodes announce themselves again,
-# at random times: about so many nodes per second, as the store limits writes.
+# at random times: at this mean rate, as the store limits writes.
 ANNOUNCEMENTS_PER_S = 150.0
 
 
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -224,7 +224,7 @@
     async def _ends_after(
         self, run: RelayRun, connect_failures: int, outcome: NotSent
     ) -> bool:
-        """Return whether a request has ended after so many failed connections."""
+        """Return whether a request has ended with this number of failed connections."""
         if connect_failures == FORWARD_AFTER_FAILURES and await self._forward(run):
             return True
         if connect_failures > MAX_CONNECT_FAILURES:
