Read what can be read of updates of other builds

Seen by: nodes, when builds run side by side. An update between nodes was read as a whole or dropped: one assignment with one field more, or one field of another type, and the receiver took its sender for silent. It then placed work without what the sender runs, and counted it with an equal share in retry budgets.

Cause: an assignment was a tuple of fixed length, and one item that doesn't match failed the whole message.

The change: an assignment is a class of its own, whose further fields are ignored. When an update doesn't match, its fields, and the items of its lists, are read one by one, and what doesn't match is left out and logged once for each start of the peer. The bytes are the same as before. Older builds still drop an update with a longer assignment, so new facts go into a list of their own, which they ignore.

The fuzz tests of all messages pass unchanged.

--- a/src/tanagerkeel/codec.py
+++ b/src/tanagerkeel/codec.py
@@ -9,6 +9,8 @@
 import msgspec
 from cattrs.preconf.json import make_converter
 
+from tanagerkeel._compact import compact_reader
+
 __all__ = [
     "InvalidValue",
     "decode",
@@ -20,6 +22,7 @@
     "structure",
     "unpack",
     "unpack_compact",
+    "unpack_compact_leniently",
     "unstructure",
 ]
 
@@ -62,13 +65,9 @@
 _lenient_json_converter = _make_json_converter(forbid_extra_keys=False)
 
 
-def _make_compact_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE)
-    _register_strict(converter, (str, int, bool, bytes, float))
-    return converter
-
-
-_compact_converter = _make_compact_converter()
+_compact_converter = cattrs.Converter(
+    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
+)
 
 
 @attrs.define(auto_exc=True, str=False)
@@ -176,16 +175,38 @@
     """
     Return the instance of ``cls`` that :func:`pack_compact` encoded.
 
-    Fields are identified by position, so new fields go to the end of a class.
+    Fields are identified by position, so new fields go to the end of a class and have
+    defaults. Further items, from a build with more fields, are ignored.
 
     :raises InvalidValue: when it isn't MessagePack or doesn't match the class.
     """
+    return _decode_compact(lambda: compact_reader(cls).read(data))
+
+
+def unpack_compact_leniently(data: bytes, cls: type[T]) -> tuple[T, tuple[str, ...]]:
+    """
+    Return the instance of ``cls`` that a build with other fields may have encoded.
+
+    An entry of a tuple that doesn't match is left out, and a field that doesn't match
+    gets its default, so that what this build can't read costs nothing else.
+
+    :returns: the instance, and a line for everything that was left out.
+    :raises InvalidValue: when it isn't MessagePack, or a field without a default
+        doesn't match.
+    """
+    reader = compact_reader(cls)
     try:
-        unstructured = msgspec.msgpack.decode(data)
-        return _compact_converter.structure(unstructured, cls)
+        return reader.read(data), ()
+    except (msgspec.DecodeError, TypeError, ValueError):
+        left_out: list[str] = []
+        value = _decode_compact(lambda: reader.read_leniently(data, left_out))
+        return value, tuple(left_out)
+
+
+def _decode_compact(decode: Callable[[], T]) -> T:
+    try:
+        return decode()
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise InvalidValue((f"not MessagePack: {error} @ $",)) from error
-    except cattrs.BaseValidationError as error:
-        raise InvalidValue(tuple(cattrs.transform_error(error))) from error
+        raise InvalidValue((f"not the expected MessagePack: {error}",)) from error
     except (TypeError, ValueError, KeyError, AttributeError) as error:
         raise InvalidValue((f"{error} @ $",)) from error
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -57,22 +57,39 @@
 MAX_ASSIGNMENTS = 64
 MAX_SUSPECTS = 8
 MAX_GONE = 32
+# Maximum number of unreadable parts of an update in a log line.
+MAX_LOGGED_PROBLEMS = 4
 # A long prompt that was sent to its engine longer ago, in milliseconds, was already
 # reported as new in an earlier update.
 LONG_PROMPT_NEW_MS = 50
 # Upper bound of a reported due time, in seconds from now; no objective is longer.
 MAX_DUE_S = 3_600.0
 
-# Backend server's id; prompt and answer in tokens; the gap objective; times from now to
-# the send, the first event and the end; whether its first event has arrived; the full
-# prompt in tokens; and the time from now to when the first event is due. Times in
-# milliseconds.
-PackedAssignment = tuple[str, int, int, int, int, int, int, bool, int, int]
+
+@attrs.define
+class _PackedAssignment:
+    """
+    An assignment on the wire; times are in milliseconds from now.
+
+    Builds up to commit a20868e drop an update with an assignment of another length, so
+    that further fields have to go into a list of their own in the update.
+    """
+
+    backend_id: str
+    prompt_tokens: int
+    answer_tokens: int
+    gap_objective_ms: int
+    sent_ms: int
+    first_ms: int
+    end_ms: int
+    first_event_seen: bool
+    full_prompt_tokens: int
+    due_ms: int
 
 
 @attrs.frozen
 class _PeerUpdate:
-    assignments: tuple[PackedAssignment, ...]
+    assignments: tuple[_PackedAssignment, ...]
     suspects: tuple[QuarantineEntry, ...] = ()
     # The sender's use of the shared retry budget, by service.
     retries: dict[str, int] = attrs.field(factory=dict)
@@ -88,8 +105,8 @@
     unreachable_services: tuple[str, ...] = ()
 
 
-def _pack(assignment: Assignment, now: float) -> PackedAssignment:
-    return (
+def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
+    return _PackedAssignment(
         assignment.backend_id,
         assignment.prompt_tokens,
         assignment.answer_tokens,
@@ -103,29 +120,27 @@
     )
 
 
-def _starts_long_prompt(packed: PackedAssignment) -> bool:
+def _starts_long_prompt(packed: _PackedAssignment) -> bool:
     """Return whether it is a long prompt that was just sent to its engine."""
-    _, _, _, _, sent_ms, _, _, first_event_seen, full_prompt_tokens, _ = packed
     return (
-        not first_event_seen
-        and full_prompt_tokens >= LONG_PROMPT_TOKENS
-        and sent_ms > -LONG_PROMPT_NEW_MS
+        not packed.first_event_seen
+        and packed.full_prompt_tokens >= LONG_PROMPT_TOKENS
+        and packed.sent_ms > -LONG_PROMPT_NEW_MS
     )
 
 
-def _unpack(packed: PackedAssignment, now: float) -> Assignment:
-    backend_id, prompt, answer, gap, sent, first, end, seen, full, due = packed
+def _unpack(packed: _PackedAssignment, now: float) -> Assignment:
     return Assignment(
-        backend_id,
-        prompt,
-        answer,
-        gap,
-        now + sent / 1_000,
-        now + first / 1_000,
-        now + end / 1_000,
-        seen,
-        full,
-        now + due / 1_000,
+        packed.backend_id,
+        packed.prompt_tokens,
+        packed.answer_tokens,
+        packed.gap_objective_ms,
+        now + packed.sent_ms / 1_000,
+        now + packed.first_ms / 1_000,
+        now + packed.end_ms / 1_000,
+        packed.first_event_seen,
+        packed.full_prompt_tokens,
+        now + packed.due_ms / 1_000,
     )
 
 
@@ -147,6 +162,8 @@
     _sequence: int = 0
     # The newest session of each peer that sent an update; each start begins another.
     _sessions: dict[str, int] = attrs.field(factory=dict)
+    # The newest session of each peer whose updates this build can't read whole.
+    _partly_read_sessions: dict[str, int] = attrs.field(factory=dict)
     _domain_timer: asyncio.TimerHandle | None = None
     _all_timer: asyncio.TimerHandle | None = None
     # Handlers of other kinds of datagrams; they get sender and payload.
@@ -234,7 +251,9 @@
             if frame.kind in self._handlers:
                 self._handlers[frame.kind](frame.sender, frame.payload)
                 return
-            update = codec.unpack_compact(frame.payload, _PeerUpdate)
+            update, left_out = codec.unpack_compact_leniently(
+                frame.payload, _PeerUpdate
+            )
         except (FrameRejected, codec.InvalidValue) as error:
             log(
                 LogEvent.PEER_MESSAGE_DROPPED,
@@ -242,6 +261,8 @@
                 reason=str(error),
             )
             return
+        if left_out:
+            self._log_left_out(frame, left_out)
         now = self._state.clock.monotonic()
         self._state.assignments.update_peer(
             frame.sender,
@@ -250,7 +271,9 @@
             now,
         )
         long_starts = {
-            packed[0] for packed in update.assignments if _starts_long_prompt(packed)
+            packed.backend_id
+            for packed in update.assignments
+            if _starts_long_prompt(packed)
         }
         if long_starts and self._state.on_long_prefill is not None:
             self._state.on_long_prefill(long_starts)
@@ -264,6 +287,17 @@
             self._state.record_gone_report(frame.sender, backend_id)
         self._state.notify_changed()
 
+    def _log_left_out(self, frame: Frame, left_out: tuple[str, ...]) -> None:
+        """Log once for each start of a peer what this build can't read."""
+        if self._partly_read_sessions.get(frame.sender) == frame.session:
+            return
+        self._partly_read_sessions[frame.sender] = frame.session
+        log(
+            LogEvent.PEER_MESSAGE_PARTLY_READ,
+            sender=frame.sender,
+            left_out=list(left_out[:MAX_LOGGED_PROBLEMS]),
+        )
+
     def _merge_section_evidence(
         self, frame: Frame, update: _PeerUpdate, now: float
     ) -> None:
