Repeat updates to other failure domains at intervals that grow with the fleet

Seen by: operators.

Cause: every node repeated its update to all others every 2 s, 4 s when idle, so that a node reads a number of repeats that grows with the fleet.

The change: within the failure domain nothing changes. To all nodes a node repeats every N / 20 s, so that a node reads 20 of these a second whatever the size; as before every 2 s while it has anything but running work to tell (retries, suspects, lost servers, sections, limited sends, services out of reach), and at short first intervals after its start. Starts of work that concern other domains go out at once, as before. An update says how long it is valid in a new last field, which older builds ignore; without it 5 s count. Whoever shares a limit with a peer counts on it only while some node of its failure domain was heard in the last 5 s, so that a cut between domains is noticed as before. A domain's update that holds facts goes to all: these parts are sent a limited number of times, and other domains missed them.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -22,6 +22,7 @@
 from tanagerkeel.relay._deferral import should_defer
 from tanagerkeel.relay._estimate import Candidate, Demand, Estimate, estimate
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
+from tanagerkeel.relay._fleet_size import SMALL_FLEET_NODES
 from tanagerkeel.relay._hold_off import HoldOffTable, parse_retry_after
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
 from tanagerkeel.relay._migration import expected_pause_ms, should_migrate
@@ -52,8 +53,8 @@
 )
 from tanagerkeel.relay._store_era import EraChange, StoreEra
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
+from tanagerkeel.relay._update_intervals import UpdateIntervals, repeat_intervals
 from tanagerkeel.relay._watching import (
-    SMALL_FLEET_NODES,
     ChangeBatch,
     ChangeLog,
     EncodedChange,
@@ -66,6 +67,7 @@
     "LONG_PROMPT_TOKENS",
     "PEER_TIMEOUT_S",
     "SMALL_FLEET_NODES",
+    "UpdateIntervals",
     "BackendServer",
     "BackendTable",
     "ChangeBatch",
@@ -118,6 +120,7 @@
     "expected_pause_ms",
     "prefill_ms",
     "step_ms",
+    "repeat_intervals",
     "watchers",
     "should_migrate",
     "parse_rate_limit",
--- a/src/tanagerkeel/relay/_assignments.py
+++ b/src/tanagerkeel/relay/_assignments.py
@@ -6,8 +6,9 @@
 
 __all__ = ["PEER_TIMEOUT_S", "Assignment", "AssignmentTable"]
 
-# The last update of a peer is ignored after this time, in seconds. Peers repeat their
-# state several times within it, so that one lost datagram does no harm.
+# The last update of a peer that doesn't say how long it is valid is ignored after this
+# time, in seconds. Peers repeat their state several times within it, so that one lost
+# datagram does no harm.
 PEER_TIMEOUT_S = 5.0
 # A peer's request is taken to have ended this long after its expected end, in seconds:
 # the update that reported its end was lost, or the peer has failed.
@@ -75,6 +76,7 @@
 class _PeerAssignments:
     sequence: tuple[int, int]
     received_s: float
+    valid_s: float
     assignments: tuple[Assignment, ...]
 
 
@@ -104,6 +106,7 @@
         sequence: tuple[int, int],
         assignments: Iterable[Assignment],
         now: float,
+        valid_s: float = PEER_TIMEOUT_S,
     ) -> None:
         """
         Replace all that a peer has assigned, unless the update is outdated.
@@ -113,10 +116,13 @@
             updates.
         :param assignments: all that it has assigned now.
         :param now: monotonic time, in seconds.
+        :param valid_s: time after which the update is ignored, in seconds.
         """
         known = self._peers.get(node)
         if known is None or sequence > known.sequence:
-            self._peers[node] = _PeerAssignments(sequence, now, tuple(assignments))
+            self._peers[node] = _PeerAssignments(
+                sequence, now, valid_s, tuple(assignments)
+            )
 
     def remove_peer(self, node: str) -> None:
         """Remove a peer that is gone, with all that it has assigned."""
@@ -147,4 +153,4 @@
             yield from (a for a in update.assignments if now < a.end_s + OVERDUE_S)
 
     def _current(self, now: float) -> Iterator[_PeerAssignments]:
-        return (u for u in self._peers.values() if now - u.received_s <= PEER_TIMEOUT_S)
+        return (u for u in self._peers.values() if now - u.received_s <= u.valid_s)
--- a/src/tanagerkeel/relay/_section_quarantine.py
+++ b/src/tanagerkeel/relay/_section_quarantine.py
@@ -15,6 +15,7 @@
 import attrs
 import xxhash
 
+from tanagerkeel.relay._fleet_size import SMALL_FLEET_NODES
 from tanagerkeel.relay._section_evidence import (
     SAME_OCCASION_S,
     START_TTL_S,
@@ -50,9 +51,6 @@
 REPEATING_NODES = 3
 # Interval of that, in seconds.
 REPEAT_INTERVAL_S = 1.0
-# In a fleet of up to this many nodes, each node that knows of a newer start answers a
-# report with it; in a larger one, the repeating nodes do.
-SMALL_FLEET_NODES = 16
 # Limits of the reports in one update.
 MAX_REPORTS = 8
 MAX_START_REPORTS = 16
@@ -365,6 +363,7 @@
         )
 
     def _answers(self, key: int, nodes: tuple[str, ...]) -> bool:
+        """Return whether this node answers a report if it knows of a newer start."""
         if len(nodes) <= SMALL_FLEET_NODES:
             return True
         return self._node in rendezvous(str(key), nodes)[:REPEATING_NODES]
--- a/src/tanagerkeel/relay/_watching.py
+++ b/src/tanagerkeel/relay/_watching.py
@@ -16,10 +16,10 @@
 import attrs
 
 from tanagerkeel.relay._delta import apply_delta, make_delta
+from tanagerkeel.relay._fleet_size import SMALL_FLEET_NODES
 from tanagerkeel.rendezvous import rendezvous
 
 __all__ = [
-    "SMALL_FLEET_NODES",
     "ChangeBatch",
     "ChangeLog",
     "StoreChange",
@@ -28,9 +28,6 @@
     "watchers",
 ]
 
-# Up to this many nodes, all of them watch: the calls are few, and no node depends on
-# another one.
-SMALL_FLEET_NODES = 16
 # Two, so that the other nodes can still poll one when the other fails.
 WATCHERS_PER_DOMAIN = 2
 # Batches that a watcher keeps; a node that is further behind calls the store.
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -25,11 +25,14 @@
 from tanagerkeel.quarantine import QuarantineEntry
 from tanagerkeel.relay import (
     LONG_PROMPT_TOKENS,
+    PEER_TIMEOUT_S,
     SMALL_FLEET_NODES,
     Assignment,
     SectionReport,
     SendReport,
     StartReport,
+    UpdateIntervals,
+    repeat_intervals,
 )
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import RelayPresenceTask
@@ -47,11 +50,10 @@
 # Delay of an update when work progresses or ends as expected, in seconds. Peers have
 # the estimate, and a busy node sends its next update earlier.
 PROGRESS_DELAY_S = 0.5
-# Interval of updates to all peers while the node runs anything, in seconds; peers take
-# a node to be silent after more than twice this time.
-REPEAT_INTERVAL_S = 2.0
-# The same for a node that runs nothing.
-IDLE_REPEAT_INTERVAL_S = 4.0
+# Longest delay of a node's first update, in seconds.
+FIRST_DELAY_S = 2.0
+# Upper bound of the time for which a peer's update is valid, in seconds.
+MAX_VALID_S = 60.0
 # Maximum number of items in one datagram, so that it fits into one packet on usual
 # networks.
 MAX_ASSIGNMENTS = 64
@@ -103,6 +105,24 @@
     limited_sends: tuple[SendReport, ...] = ()
     # Services of which the sender reaches no backend server.
     unreachable_services: tuple[str, ...] = ()
+    # How long the update is valid. Builds up to commit a20868e ignore this field and
+    # take its sender for silent after 5 s, so that in a large fleet they don't forward
+    # to nodes of newer builds in other failure domains, and count them with an equal
+    # share in limits, while these send nothing.
+    valid_ms: int = int(1_000 * PEER_TIMEOUT_S)
+
+    @property
+    def has_facts(self) -> bool:
+        """Whether it holds anything but running work."""
+        return bool(
+            self.suspects
+            or self.retries
+            or self.gone
+            or self.started_sections
+            or self.section_reports
+            or self.limited_sends
+            or self.unreachable_services
+        )
 
 
 def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
@@ -166,6 +186,9 @@
     _partly_read_sessions: dict[str, int] = attrs.field(factory=dict)
     _domain_timer: asyncio.TimerHandle | None = None
     _all_timer: asyncio.TimerHandle | None = None
+    # Number of updates sent to all, and whether the last one held facts.
+    _sent_to_all: int = 0
+    _has_facts: bool = False
     # Handlers of other kinds of datagrams; they get sender and payload.
     _handlers: dict[int, Callable[[str, bytes], None]] = attrs.field(factory=dict)
 
@@ -203,7 +226,7 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, (host, int(port)))
         self._all_timer = loop.call_later(
-            REPEAT_INTERVAL_S * self._random.random(), self._send_to_all
+            FIRST_DELAY_S * self._random.random(), self._send_to_all
         )
         self._state.quarantine.set_listener(self.notify_all_peers)
         self._state.section_quarantine.set_listener(self.notify_all_peers)
@@ -212,7 +235,9 @@
         """Send a last update, which reports that nothing runs, and close the socket."""
         self._cancel_timers()
         if self._transport is not None:
-            self._send(self._state.peers.others)
+            update = self._make_update()
+            others, intervals = self._state.peers.others, self._next_intervals()
+            self._transmit_update(update, others, intervals)
             self._transport.close()
             self._transport = None
 
@@ -264,11 +289,13 @@
         if left_out:
             self._log_left_out(frame, left_out)
         now = self._state.clock.monotonic()
+        valid_s = min(MAX_VALID_S, update.valid_ms / 1_000)
         self._state.assignments.update_peer(
             frame.sender,
             (frame.session, frame.sequence),
             (_unpack(packed, now) for packed in update.assignments),
             now,
+            valid_s,
         )
         long_starts = {
             packed.backend_id
@@ -277,7 +304,7 @@
         }
         if long_starts and self._state.on_long_prefill is not None:
             self._state.on_long_prefill(long_starts)
-        self._state.record_peer_retries(frame.sender, update.retries)
+        self._state.record_peer_retries(frame.sender, update.retries, valid_s)
         self._state.record_peer_reach(frame.sender, update.unreachable_services)
         for entry in update.suspects:
             self._state.quarantine.merge(entry, now)
@@ -335,33 +362,54 @@
                 timer.cancel()
         self._domain_timer = self._all_timer = None
 
+    def _next_intervals(self) -> UpdateIntervals:
+        return repeat_intervals(
+            len(self._state.peers.others) + 1,
+            bool(self._state.assignments.own),
+            self._has_facts,
+            self._sent_to_all,
+        )
+
     def _send_to_domain(self) -> None:
         self._domain_timer = None
+        update = self._make_update()
+        if update is not None and update.has_facts:
+            # Parts that are sent a limited number of times would miss the other nodes.
+            self._send_to_all(update)
+            return
+        intervals = self._next_intervals()
         own_domain = self._state.settings.failure_domain
         others = self._state.peers.others
-        self._send([p for p in others if p.failure_domain == own_domain])
+        near = [p for p in others if p.failure_domain == own_domain]
+        self._transmit_update(update, near, intervals)
+        loop = asyncio.get_running_loop()
+        self._domain_timer = loop.call_later(intervals.near_s, self._send_to_domain)
 
-    def _send_to_all(self) -> None:
+    def _send_to_all(self, update: _PeerUpdate | None = None) -> None:
         self._cancel_timers()
-        self._send(self._state.peers.others)
-        pause_s = (
-            REPEAT_INTERVAL_S if self._state.assignments.own else IDLE_REPEAT_INTERVAL_S
-        )
+        update = update or self._make_update()
+        if update is not None:
+            self._has_facts = update.has_facts
+            self._sent_to_all += 1
+        intervals = self._next_intervals()
+        self._transmit_update(update, self._state.peers.others, intervals)
         loop = asyncio.get_running_loop()
-        self._all_timer = loop.call_later(pause_s, self._send_to_all)
-
-    def _send(self, peers: Sequence[Peer]) -> None:
-        keys = self._presence.keys
-        if keys is None or not peers or self._transport is None:
-            return
+        self._all_timer = loop.call_later(intervals.far_s, self._send_to_all)
+        if intervals.near_s < intervals.far_s:
+            self._domain_timer = loop.call_later(intervals.near_s, self._send_to_domain)
+
+    def _make_update(self) -> _PeerUpdate | None:
+        """Return the update to send now; None while none can be sent."""
+        if (
+            self._presence.keys is None
+            or self._transport is None
+            or not self._state.peers.others
+        ):
+            return None
         now = self._state.clock.monotonic()
-        assignments = tuple(
-            _pack(a, now) for a in self._state.assignments.own[:MAX_ASSIGNMENTS]
-        )
-        suspects = self._state.quarantine.take_updates(now)[:MAX_SUSPECTS]
-        update = _PeerUpdate(
-            assignments,
-            suspects,
+        return _PeerUpdate(
+            tuple(_pack(a, now) for a in self._state.assignments.own[:MAX_ASSIGNMENTS]),
+            self._state.quarantine.take_updates(now)[:MAX_SUSPECTS],
             self._state.used_retry_extra(),
             self._state.backends.gone_backends(now)[:MAX_GONE],
             self._state.section_quarantine.take_starts(now),
@@ -369,7 +417,18 @@
             self._state.rate_limits.reports(now),
             self._state.unreachable_services(),
         )
-        data = self._sign(NEWS_KIND, codec.pack_compact(update), keys)
+
+    def _transmit_update(
+        self,
+        update: _PeerUpdate | None,
+        peers: Sequence[Peer],
+        intervals: UpdateIntervals,
+    ) -> None:
+        if update is None or not peers:
+            return
+        update = attrs.evolve(update, valid_ms=int(1_000 * intervals.valid_s))
+        payload = codec.pack_compact(update)
+        data = self._sign(NEWS_KIND, payload, self._presence.keys)
         for peer in peers:
             self._transmit(data, peer)
 
--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -1,5 +1,7 @@
 """The nodes of the fleet, from their lease-bound keys in the platform's store."""
 
+import collections
+
 import attrs
 
 __all__ = ["NODE_KEY_PREFIX", "Peer", "PeerTable", "node_id_from_key"]
@@ -53,6 +55,7 @@
     _peers: dict[str, Peer] = attrs.field(factory=dict)
     _removed_s: dict[str, float] = attrs.field(factory=dict)
     _missing_s: dict[str, float] = attrs.field(factory=dict)
+    _domain_sizes: "collections.Counter[str]" = attrs.field(factory=collections.Counter)
 
     @property
     def others(self) -> tuple[Peer, ...]:
@@ -68,9 +71,17 @@
         """Return a node by its id; None if its key is not in the store."""
         return self._peers.get(node_id)
 
+    def domain_size(self, domain: str) -> int:
+        """Return how many nodes whose keys are in the store a failure domain has."""
+        return self._domain_sizes[domain]
+
     def put(self, peer: Peer) -> bool:
         """Add or replace a node; return whether it is new or has changed."""
-        changed = self._peers.get(peer.node_id) != peer
+        known = self._peers.get(peer.node_id)
+        changed = known != peer
+        if known is not None:
+            self._domain_sizes[known.failure_domain] -= 1
+        self._domain_sizes[peer.failure_domain] += 1
         self._peers[peer.node_id] = peer
         self._removed_s.pop(peer.node_id, None)
         self._missing_s.pop(peer.node_id, None)
@@ -91,8 +102,10 @@
 
     def remove(self, node_id: str, now: float) -> bool:
         """Remove a node whose key is gone; return whether the table held it."""
-        if self._peers.pop(node_id, None) is None:
+        peer = self._peers.pop(node_id, None)
+        if peer is None:
             return False
+        self._domain_sizes[peer.failure_domain] -= 1
         self._missing_s.pop(node_id, None)
         self._removed_s[node_id] = now
         return True
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -52,6 +52,21 @@
 MAX_LOGGED_CHARACTERS = 80
 
 
+@attrs.frozen
+class _PeerReport:
+    """
+    A peer's newest report of its retries.
+
+    :param received_s: monotonic time of its arrival, in seconds.
+    :param valid_s: time for which it is valid, in seconds.
+    :param retries: retries that the peer has taken from the extra, by service.
+    """
+
+    received_s: float
+    valid_s: float
+    retries: dict[str, int]
+
+
 @attrs.define
 class RelayState:
     """
@@ -95,8 +110,9 @@
     rate_limits: RateLimitTable = attrs.field()
     _retry_budgets: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
-    # When each peer last reported its retries, and their number by service.
-    _peer_retries: dict[str, tuple[float, dict[str, int]]] = attrs.field(factory=dict)
+    _peer_reports: dict[str, _PeerReport] = attrs.field(factory=dict)
+    # When any node of a failure domain was last heard, by the domain's name.
+    _domain_heard_s: dict[str, float] = attrs.field(factory=dict)
     # Services of which each peer reaches no backend server.
     _peer_unreachable: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Incarnations whose Retry-After, or rate limit, could not be read.
@@ -182,9 +198,25 @@
         )
 
     def _hears(self, node: str, now: float) -> bool:
-        """Return whether a peer's newest update is recent."""
-        received_s, _ = self._peer_retries.get(node, (float("-inf"), None))
-        return now - received_s <= PEER_TIMEOUT_S
+        """
+        Return whether a peer's newest update is valid.
+
+        In a large fleet, updates from other failure domains are valid for longer than
+        a network partition may stay unnoticed: the nodes that share a limit would then
+        count on peers that no longer hear them. So some node of the peer's failure
+        domain must have been heard recently.
+        """
+        report = self._peer_reports.get(node)
+        if report is None or now - report.received_s > report.valid_s:
+            return False
+        peer = self.peers.get(node)
+        if peer is None:
+            return now - report.received_s <= PEER_TIMEOUT_S
+        domain = peer.failure_domain
+        # A failure domain of few nodes is heard less often.
+        timeout_s = report.valid_s / max(1, self.peers.domain_size(domain))
+        heard_s = self._domain_heard_s.get(domain, report.received_s)
+        return now - heard_s <= max(PEER_TIMEOUT_S, timeout_s)
 
     @property
     def confirmed_age_s(self) -> float:
@@ -222,21 +254,29 @@
         """
         now = self.clock.monotonic()
         nodes = self.peers.possible_senders(now)
+        possible = frozenset(nodes)
         reported = {
-            node: retries.get(service, 0)
-            for node, (received_s, retries) in self._peer_retries.items()
-            if now - received_s <= PEER_TIMEOUT_S and node in nodes
+            node: report.retries.get(service, 0)
+            for node, report in self._peer_reports.items()
+            if node in possible and self._hears(node, now)
         }
         return self.retry_budget(service).try_acquire(now, len(nodes), reported)
 
-    def record_peer_retries(self, node: str, retries: dict[str, int]) -> None:
+    def record_peer_retries(
+        self, node: str, retries: dict[str, int], valid_s: float = PEER_TIMEOUT_S
+    ) -> None:
         """
         Record how much a peer has used of the extra of the shared retry budgets.
 
         :param node: the peer's id.
         :param retries: how many retries it has taken from the extra, by service.
+        :param valid_s: time for which the report is valid, in seconds.
         """
-        self._peer_retries[node] = (self.clock.monotonic(), retries)
+        now = self.clock.monotonic()
+        self._peer_reports[node] = _PeerReport(now, valid_s, retries)
+        peer = self.peers.get(node)
+        if peer is not None:
+            self._domain_heard_s[peer.failure_domain] = now
 
     def used_retry_extra(self) -> dict[str, int]:
         """Return how many retries this node has taken from the extra, by service."""
@@ -460,7 +500,7 @@
         """Return how many nodes this one hears, itself included, and of how many."""
         nodes = frozenset(self.peers.possible_senders(now))
         heard = sum(
-            self._hears(node, now) and node in nodes for node in self._peer_retries
+            node in nodes and self._hears(node, now) for node in self._peer_reports
         )
         return 1 + heard, len(nodes)
 
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -129,7 +129,7 @@
         node._peer_updates.notify_all_peers()
     await relay.until(
         lambda: all(
-            len(node.state._peer_retries) == len(relay.nodes) - 1
+            len(node.state._peer_reports) == len(relay.nodes) - 1
             for node in relay.nodes
         )
     )
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -329,7 +329,7 @@
         node._peer_updates.notify_all_peers()
     await relay.until(
         lambda: all(
-            sum(received_s > since_s for received_s, _ in state._peer_retries.values())
+            sum(r.received_s > since_s for r in state._peer_reports.values())
             == len(states) - 1
             for state in states
         )
--- a/tests/test_relay_updates_across_builds.py
+++ b/tests/test_relay_updates_across_builds.py
@@ -66,7 +66,7 @@
         state, task = _task()
         _receive(task, [[item, ASSIGNMENT], *REST, ["a field of a newer build"]])
         assert _running(state) == {"i-1": 1}, item
-        assert state._peer_retries["n2"][1] == {"llm": 3}
+        assert state._peer_reports["n2"].retries == {"llm": 3}
 
 
 def test_a_field_that_this_build_cannot_read_costs_only_itself():
