Give orders connections of their own, and ask for the id on a reused connection

Seen by: a caller, if an engine sends a second copy of a response late, on a connection that is in use again. The copy of a response to an order (409) was passed on as the response to the caller's stream. The copy of a response to a request (200) was taken for a reservation that had in fact been refused. A copy without an id reached the next caller.

Cause: responses to orders carry no id, and orders shared pooled connections with requests. A response was compared by its id only if it had one.

The change: each order has a new connection, which is closed after its response. On a connection that has carried another response, a response without the request's id is a wrong answer; the platform's engines echo the id. What a rejected response says about its sender is no longer recorded, nor is its keep-alive time taken over. Responses of peers are not asked for an id, as older builds send none with some refusals.

A request that may run only once no longer closes the idle connections to its backend server: it asked the pool for a connection that had been idle for at most 0 s, which dropped all others, so that the next repeatable request had to connect again.

--- a/src/tanagerkeel/gateways/exchange/_pool.py
+++ b/src/tanagerkeel/gateways/exchange/_pool.py
@@ -59,6 +59,8 @@
             time, in seconds; 0 for a new one.
         :raises ConnectError: if no connection could be made.
         """
+        if max_idle_s <= 0:
+            return await self.connect(address)
         now = self._clock.monotonic()
         idle = self._idle.get(address)
         while idle:
@@ -69,7 +71,7 @@
                 return connection
             else:
                 connection.close()
-        return await self._connect(address)
+        return await self.connect(address)
 
     def release(self, connection: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
@@ -105,7 +107,13 @@
         for address in list(self._idle):
             self.close_address(address)
 
-    async def _connect(self, address: str) -> BackendConnection:
+    async def connect(self, address: str) -> BackendConnection:
+        """
+        Return a new connection.
+
+        :param address: ``IP:PORT`` of the backend server.
+        :raises ConnectError: if no connection could be made.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -136,6 +136,7 @@
             self._pool.release(connection)
             return Withheld(section)
         complete = False
+        reused = not connection.unused
         self._sent_s = self._state.clock.monotonic()
         try:
             connection.send(
@@ -143,7 +144,7 @@
                 no_body=run.request.method == "HEAD",
             )
             self._on_sent()
-            self._response = self._make_response(connection)
+            self._response = self._make_response(connection, reused)
             outcome = await self._response.receive()
             complete = not isinstance(outcome, ReplyLost | Migrated)
             return outcome
@@ -154,7 +155,9 @@
                 # Also makes the backend server stop when the caller has disconnected.
                 connection.abort()
 
-    def _make_response(self, connection: BackendConnection) -> ResponseRelay:
+    def _make_response(
+        self, connection: BackendConnection, reused: bool
+    ) -> ResponseRelay:
         return ResponseRelay(
             run=self._run,
             connection=connection,
@@ -165,6 +168,7 @@
             on_head=self._record_head,
             on_data=lambda: self._state.record_data(self.server),
             on_first_output=self._on_first_output,
+            requires_id=reused,
         )
 
     def _record_head(self, head: ReplyHead) -> bool:
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -18,7 +18,6 @@
     ConnectError,
     ConnectionPool,
     RawHead,
-    ReplyEnd,
 )
 from tanagerkeel.relay import BackendServer, ReplyHead
 from tanagerkeel.relay_entry._protocols import (
@@ -42,8 +41,6 @@
 # Number of attempts to release a reservation if the engine doesn't answer; the
 # reservation expires by itself anyway.
 RELEASE_ATTEMPTS = 2
-# Longest idle time of a pooled connection that may be used, in seconds.
-REUSE_IDLE_S = 30.0
 OK_STATUS = 200
 
 
@@ -151,14 +148,18 @@
     async def _send_order(
         self, server: BackendServer, order: ReserveMemory | ReleaseMemory
     ) -> ReplyHead | None:
-        """Send an order; return the head of the response, None without one."""
+        """
+        Send an order; return the head of the response, None without one.
+
+        Responses to orders carry no id, so that a late second copy of another response
+        would be taken for one. Therefore each order has a connection of its own.
+        """
         try:
-            connection = await self._pool.acquire(server.address, REUSE_IDLE_S)
+            connection = await self._pool.connect(server.address)
         except ConnectError:
             return None
         head = None
         body_bytes = 0
-        complete = False
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 sent_s = self._monotonic()
@@ -173,12 +174,8 @@
                         if body_bytes > MAX_ANSWER_BYTES:
                             return None
                     event = await connection.next_event()
-                complete = isinstance(event, ReplyEnd)
         except TimeoutError:
             head = None
         finally:
-            if complete:
-                self._pool.release(connection)
-            else:
-                connection.abort()
+            connection.abort()
         return head
--- a/src/tanagerkeel/relay_entry/_response.py
+++ b/src/tanagerkeel/relay_entry/_response.py
@@ -69,6 +69,9 @@
     :param on_data: called when data has arrived.
     :param on_first_output: called when the first event, or a whole response that isn't
         a stream, has arrived.
+    :param requires_id: whether the head must carry the request's id. On a connection
+        that has carried another response, one without an id may be a late second copy
+        of that.
     :param withholds: returns whether a response that isn't a stream is returned, as an
         :class:`ErrorReply`, rather than forwarded.
     :param stream_started: whether an event of a stream has been forwarded.
@@ -85,6 +88,7 @@
     _on_data: Callable[[], None]
     _on_first_output: Callable[[], None]
     _withholds: Callable[[ReplyHead], bool] = _is_server_error
+    _requires_id: bool = False
     stream_started: bool = False
     migration_requested: bool = False
     _held_off: bool = False
@@ -93,7 +97,6 @@
         """Receive the response, forward it and return how the attempt ended."""
         try:
             head = await self._next_head()
-            self._check_head(head)
             if head.not_run or head.status == MISDIRECTED_STATUS:
                 await self._read_body()
                 misdirected = (
@@ -118,6 +121,7 @@
         match event:
             case RawHead():
                 head = self._codec.decode(event)
+                self._check_head(head)
                 self._connection.keep_alive_s = head.keep_alive_s
                 self._held_off = self._on_head(head)
                 return head
@@ -128,6 +132,11 @@
 
     def _check_head(self, head: ReplyHead) -> None:
         expected_id = self._run.request.request_id
+        if head.request_id is None and self._requires_id:
+            raise _ReplyFailed(
+                SendFailure.WRONG_ANSWER,
+                "response without an id on a reused connection",
+            )
         if head.request_id is not None and head.request_id != expected_id:
             raise _ReplyFailed(
                 SendFailure.WRONG_ANSWER,
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -268,10 +268,13 @@
     :param closed_connections: number of connections that ended, closed or reset by
         either side.
     :param order_status: the status that it responds to orders with.
+    :param repeats_order_answers: whether it sends a second copy of its answer to an
+        order when the next request arrives on the connection.
     :param leaving: whether its responses announce that it leaves.
     :param retry_after: the Retry-After of its responses with status 503; None for none.
     :param rate_limit: the Server-Limit of its responses; None for none.
     :param crashed: whether :meth:`crash` ended it.
+    :param late_answers: what it sends on a connection before its answer to an order.
     """
 
     engine_id: str
@@ -280,10 +283,12 @@
     orders: list[dict] = attrs.field(factory=list)
     closed_connections: int = 0
     order_status: int = 200
+    repeats_order_answers: bool = False
     leaving: bool = False
     retry_after: str | None = None
     rate_limit: str | None = None
     crashed: bool = False
+    late_answers: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -326,10 +331,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        order = None
         try:
             while True:
                 request = await _read_request(reader, self)
+                if order is not None and self.repeats_order_answers:
+                    await write_response(
+                        writer, order, status=self.order_status, body=b'{"free":1}'
+                    )
                 if request.target == "/order":
+                    order = request
+                    writer.write(self.late_answers.pop(writer, b""))
                     self.orders.append(json.loads(request.body))
                     await write_response(
                         writer, request, status=self.order_status, body=b'{"free":1}'
@@ -383,8 +395,10 @@
     length: int | None = None,
 ) -> bytes:
     """Return status line and headers of a response, by default without a length."""
-    echoed = request_id or request.headers.get("tanagerkeel-attempt-id", "")
-    lines = [f"HTTP/1.1 {status} Status", f"Tanagerkeel-Attempt-Id: {echoed}"]
+    lines = [f"HTTP/1.1 {status} Status"]
+    echoed = request_id or request.headers.get("tanagerkeel-attempt-id")
+    if echoed is not None:
+        lines.append(f"Tanagerkeel-Attempt-Id: {echoed}")
     if seal is not None:
         lines.append(f"Tanagerkeel-Response-Seal: {seal}")
     if length is not None:
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -78,7 +78,7 @@
 @contextlib.contextmanager
 def in_force(*cuts: Cut):
     """Let cuts affect new connections."""
-    connect = ConnectionPool._connect
+    connect = ConnectionPool.connect
 
     async def checked_connect(pool, address):
         for cut in cuts:
@@ -86,7 +86,7 @@
                 await cut.check(address)
         return await connect(pool, address)
 
-    with unittest.mock.patch.object(ConnectionPool, "_connect", checked_connect):
+    with unittest.mock.patch.object(ConnectionPool, "connect", checked_connect):
         yield
 
 
