Replace an engine that sends bytes and no events

Seen by: a caller of a stream whose engine has stalled and sends a byte or a comment now and then. The stream stayed with that engine until its deadline; the caller leaves after 2 s without an event.

Cause: every byte started the time of silence anew, and so did the head of the response.

Evidence: test_a_stream_that_sends_a_byte_now_and_then_never_ends failed before, with no event and with two before the stall.

The change: silence counts from the last event with data, or from the send, or, in a response that isn't a stream, from its last part. The time that a caller takes to read does not count. The bounds are as before, so that slow streams that make progress go on (tested: an event every 0.9 s, in two halves).

--- a/src/tanagerkeel/relay_entry/_response.py
+++ b/src/tanagerkeel/relay_entry/_response.py
@@ -92,6 +92,14 @@
     stream_started: bool = False
     migration_requested: bool = False
     _held_off: bool = False
+    # When the response last made progress: it was asked for, or an event with data was
+    # complete and written to the caller, or a part of a response that isn't a stream
+    # arrived. An engine that has stalled may still send comments or single bytes.
+    _progress_s: float = attrs.field()
+
+    @_progress_s.default
+    def _starts_now(self) -> float:
+        return self._clock.monotonic()
 
     async def receive(self) -> AttemptOutcome:
         """Receive the response, forward it and return how the attempt ended."""
@@ -216,6 +224,9 @@
             await run.reply.start(head.status, head.stream_headers)
         run.record_events(events, self._clock.monotonic())
         await run.reply.write(b"".join(e.data for e in events))
+        if any(e.has_data for e in events):
+            # Now and not before: the caller may have been slow to read.
+            self._progress_s = self._clock.monotonic()
 
     async def _relay_whole(self, head: ReplyHead) -> AttemptOutcome:
         body, delimiter = await self._read_body()
@@ -241,6 +252,7 @@
             event = await self._next_event()
             match event:
                 case BodyPart():
+                    self._progress_s = self._clock.monotonic()
                     chunks.append(event.data)
                     size += len(event.data)
                     if size > MAX_BUFFERED_BYTES:
@@ -278,10 +290,9 @@
         self, silence_timeout_s: float | None
     ) -> RawHead | BodyPart | ReplyEnd | ReplyFailure | None:
         now = self._clock.monotonic()
-        left_s = self._run.deadline_s - now
-        bound_s = (
-            left_s if silence_timeout_s is None else min(left_s, silence_timeout_s)
-        )
+        left_s = bound_s = self._run.deadline_s - now
+        if silence_timeout_s is not None:
+            bound_s = min(left_s, self._progress_s + silence_timeout_s - now)
         try:
             async with asyncio.timeout(max(0.0, bound_s)):
                 return await self._connection.next_event()
@@ -292,7 +303,7 @@
                 and self._acquire_retry()
             ):
                 raise _ReplyFailed(
-                    SendFailure.SILENT, f"no bytes for {silence_timeout_s:.2f} s"
+                    SendFailure.SILENT, f"no progress for {silence_timeout_s:.2f} s"
                 ) from None
             return None
 
