Answer what was just accepted when a node stops

Seen by: callers at a planned stop. A connection that had just been accepted was closed before its request was read, also when part of the request had arrived. A request that waited for a backend server was cut off without an answer at the end of the grace period.

Cause: the server closes every connection on which no request is being served, and cancels what is still open at the end of the grace period.

The change: a connection that has carried no request yet, or of whose request the headers are arriving, gets 0.5 s for it, is answered, and is then closed. Idle connections are closed at once, as before: waiting wouldn't make it rarer that a request crosses the close. From 0.3 s before the end on, requests that wait are refused with 503, or 502 where they may have run, and a Retry-After of 0.05 s, as other nodes can serve them.

--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -18,6 +18,10 @@
 DISCARD_TIMEOUT_S = 10.0
 # From connecting, or from the first byte of a further request, to the end of headers.
 HEADER_TIMEOUT_S = 20.0
+# How long a stopping server waits for the request of a connection that was just
+# accepted, in seconds. Clients send it within a round trip and may be a few processes
+# away on a busy machine; longer waits would delay the stop.
+FIRST_REQUEST_TIMEOUT_S = 0.5
 DEFAULT_MAX_HEADER_BYTES = 65_536
 # Separator and line end of each header line.
 HEADER_OVERHEAD_BYTES = len(": \r\n")
@@ -78,6 +82,8 @@
         self._discarded_bytes = 0
         self._discard_timer: asyncio.TimerHandle | None = None
         self._header_timer: asyncio.TimerHandle | None = None
+        self._stopping = False
+        self._stop_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the timeout of the first request's headers."""
@@ -88,6 +94,7 @@
         """Cancel the timers."""
         self._cancel_discard_timer()
         self._cancel_header_timer()
+        self._cancel_stop_timer()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -139,6 +146,24 @@
             self._reject(self._policy.too_large)
             return
         super().on_headers_complete()
+        if self._stopping and self.cycle is not None:
+            self._cancel_stop_timer()
+            self.cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """
+        Close the connection after its request, or at once if none is expected.
+
+        uvicorn calls this once when the server stops. A connection without any request
+        so far was just accepted, and its request is on the way.
+        """
+        if self.cycle is not None and not self._reading_headers or self._rejected:
+            super().shutdown()
+            return
+        self._stopping = True
+        self._stop_timer = self.loop.call_later(
+            FIRST_REQUEST_TIMEOUT_S, self.transport.close
+        )
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body, or discard it once the response is complete."""
@@ -192,6 +217,11 @@
             self._discard_timer.cancel()
             self._discard_timer = None
 
+    def _cancel_stop_timer(self) -> None:
+        if self._stop_timer is not None:
+            self._stop_timer.cancel()
+            self._stop_timer = None
+
     def _start_header_timer(self) -> None:
         self._cancel_header_timer()
         self._header_timer = self.loop.call_later(
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -48,6 +48,9 @@
 # Part of the grace period that is reserved for deleting the node's entry and ending the
 # process, in seconds.
 EXIT_MARGIN_S = 0.5
+# Time before that at which requests that still wait for a backend server are refused,
+# in seconds, so that the refusals are delivered.
+REFUSAL_MARGIN_S = 0.3
 # Time-out of the call that deletes the node's entry, in seconds.
 LEAVE_TIMEOUT_S = 0.3
 
@@ -209,6 +212,7 @@
             open_requests=self._runner.open_requests,
         )
         self.state.stopping = True
+        self.state.refuse_waiting_s = deadline_s - REFUSAL_MARGIN_S
         # Callers still arrive until the load balancer sees the node as not ready.
         await self._clock.sleep(self.settings.drain_delay_s)
         callers, forwards, *others = self._servers
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -73,20 +73,9 @@
             now = self._state.clock.monotonic()
             if now >= run.deadline_s:
                 raise TimeoutError
-            service = run.admitted.service.name
-            if self._state.out_of_reach(service, now):
-                reason = f"no backend server of {service} is reachable from this node"
-                return OutOfReach(
-                    Refusal(ResultCode.NO_BACKEND, reason, OTHER_NODE_RETRY_S)
-                )
-            section = self._state.section_quarantine.quarantined_section(
-                run.shared_sections, now
-            )
-            if section is not None:
-                self._state.section_quarantine.record_refusal(section, now)
-                return Refusal(
-                    ResultCode.HELD_BACK, f"prompt section {section} is quarantined"
-                )
+            ended = self._refusal_without_placement(run, now)
+            if ended is not None:
+                return ended
             candidates, placement = self._choose(run, now)
             if placement is not None and not self._should_wait(run, placement, now):
                 self._record_placed(run, placement, candidates, now)
@@ -104,6 +93,26 @@
                 min(RECHECK_INTERVAL_S, run.deadline_s - now)
             )
 
+    def _refusal_without_placement(
+        self, run: RelayRun, now: float
+    ) -> Refusal | OutOfReach | None:
+        """Return why the request gets no backend server, whichever are free."""
+        if now >= self._state.refuse_waiting_s:
+            return Refusal(ResultCode.STOPPING, "the node stops", OTHER_NODE_RETRY_S)
+        service = run.admitted.service.name
+        if self._state.out_of_reach(service, now):
+            reason = f"no backend server of {service} is reachable from this node"
+            return OutOfReach(
+                Refusal(ResultCode.NO_BACKEND, reason, OTHER_NODE_RETRY_S)
+            )
+        section = self._state.section_quarantine.quarantined_section(
+            run.shared_sections, now
+        )
+        if section is None:
+            return None
+        self._state.section_quarantine.record_refusal(section, now)
+        return Refusal(ResultCode.HELD_BACK, f"prompt section {section} is quarantined")
+
     def _log_waiting(
         self,
         run: RelayRun,
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -84,6 +84,8 @@
     :param rate_limits: limits on requests per second that backend servers name.
     :param section_quarantine: prompt sections that crash backend servers.
     :param stopping: whether the node has begun to stop.
+    :param refuse_waiting_s: monotonic time from which requests that still wait for a
+        backend server are refused, in seconds: the node stops soon after.
     :param on_caller_limits: called with the limits on callers that come into force.
     :param on_domain_cut_off: called with a failure domain that is found to be cut off.
     :param on_long_prefill: called with the ids of engines to which a peer has just sent
@@ -101,6 +103,7 @@
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     unstarted: UnstartedAttempts = attrs.field(factory=UnstartedAttempts)
     stopping: bool = False
+    refuse_waiting_s: float = float("inf")
     on_caller_limits: Callable[[CallerLimits], None] | None = None
     on_domain_cut_off: Callable[[str], None] | None = None
     on_long_prefill: Callable[[Container[str]], None] | None = None
