--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -173,6 +173,25 @@
         file.unlink(missing_ok=True)
 
 
+def test_a_node_reads_all_ca_certificates_of_the_machine_at_its_start():
+    script = (
+        "import sys; sys.path.insert(0, 'platform'); import run, ssl; "
+        "print(len(ssl.create_default_context().get_ca_certs()))"
+    )
+    environment = {**os.environ, "PYTHONPATH": ""}
+    environment.pop("SSL_CERT_FILE", None)
+    result = subprocess.run(
+        [sys.executable, "-c", script],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert (result.returncode, result.stdout.strip()) == (0, "0"), result.stderr
+
+
 def test_a_reload_signal_during_startup_does_not_end_the_node():
     # Guards against a SIGHUP that ends a process which has not yet installed its
     # handler. Seed 128 of the soak test found it.
