Keep settings and logs of the soak's seeds that failed

A seed doesn't repeat a run exactly, and the logs of seed 936 were not kept when it failed. They go to build/soak/seed-N now, with the violations.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,11 +18,12 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 
 import attrs
 
@@ -1076,6 +1077,14 @@
     return run
 
 
+def keep_run(
+    folder: pathlib.Path, kept: pathlib.Path, violations: Sequence[str]
+) -> None:
+    """Copy the files of a run to a folder, with its violations as a text."""
+    shutil.copytree(folder, kept, dirs_exist_ok=True)
+    (kept / "violations.txt").write_text("\n".join(violations) + "\n")
+
+
 def main() -> int:
     """Run a range of seeds; return 1 when any of them violated a guarantee, else 0."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -1088,19 +1097,23 @@
     parser.add_argument(
         "--program", default=PROGRAM, help="program that a node's process runs"
     )
+    parser.add_argument(
+        "--keep",
+        type=pathlib.Path,
+        default=pathlib.Path("build/soak"),
+        help="folder that gets the settings, logs and violations of seeds that failed",
+    )
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     failed = 0
-    with tempfile.TemporaryDirectory(prefix="soak-") as name:
-        for seed in range(int(first), int(last or first) + 1):
-            run = asyncio.run(
-                soak(seed, options.seconds, pathlib.Path(name), options.program)
-            )
-            failed += bool(run.checker.violations)
-            print(
-                f"seed {seed}: {dict(run.checker.outcomes)} "
-                f"{run.checker.violations[:5]}"
-            )
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory(prefix="soak-") as name:
+            folder = pathlib.Path(name)
+            run = asyncio.run(soak(seed, options.seconds, folder, options.program))
+            if run.checker.violations:
+                failed += 1
+                keep_run(folder, options.keep / f"seed-{seed}", run.checker.violations)
+        print(f"seed {seed}: {dict(run.checker.outcomes)} {run.checker.violations[:5]}")
     print(f"{failed} seeds failed")
     return 1 if failed else 0
 
