Let idle HTTP servers sleep

Cause: uvicorn's main loop wakes ten times a second to look whether it shall exit, and a node has four servers.

The change: the loop waits for an event that the stop sets. Before the sockets are closed the loop takes three turns, so that connections that wait to be accepted aren't reset; the old loop gave them 0.05 s on average.

--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -22,6 +22,8 @@
 
 # Limit of connections that wait to be accepted.
 BACKLOG = 1_024
+# Turns of the event loop in which waiting connections are accepted and set up.
+ACCEPT_TURNS = 3
 SERVER_LOGGER = logging.getLogger("uvicorn")
 # Longest time between two requests on a connection.
 KEEP_ALIVE_S = 30
@@ -34,6 +36,29 @@
 
 
 class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._exit_requested = asyncio.Event()
+
+    def request_exit(self, force: bool = False) -> None:
+        """
+        Stop serving.
+
+        :param force: whether open connections are not waited for.
+        """
+        self.force_exit = self.force_exit or force
+        self.should_exit = True
+        self._exit_requested.set()
+
+    async def main_loop(self) -> None:
+        # uvicorn's own loop wakes ten times a second. A node has four servers, whose
+        # wake-ups were nearly half of those of a node with a request a second.
+        await self.on_tick(0)
+        await self._exit_requested.wait()
+        # Connections that wait to be accepted would be reset.
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         # The process handles signals itself, once for all its servers.
@@ -119,7 +144,7 @@
         server, self._server = self._server, None
         if server is not None:
             server.config.timeout_graceful_shutdown = grace_s
-            server.should_exit = True
+            server.request_exit()
         await asyncio.gather(*self._tasks)
         self._tasks.clear()
 
@@ -134,8 +159,7 @@
             connection.transport.abort()
         # Keeps the port reserved while nothing listens on it.
         self._placeholder = _bind(self._host, self._port)
-        server.force_exit = True
-        server.should_exit = True
+        server.request_exit(force=True)
 
     async def resume(self) -> None:
         """Serve again on the same port after :meth:`suspend`."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -442,5 +442,22 @@
     assert request.idempotency_key == "k-1"
 
 
+async def test_idle_servers_wake_the_event_loop_ten_times_a_second():
+    async def app(scope, receive, send):
+        raise AssertionError("no request was sent")
+
+    loop = asyncio.get_running_loop()
+    server = HttpServer(app, "127.0.0.1", 0)
+    await server.start()
+    try:
+        await asyncio.sleep(0.05)
+        with mock.patch.object(loop, "call_at", wraps=loop.call_at) as timers:
+            await asyncio.sleep(0.6)
+        # The only timer is that of the wait itself.
+        assert timers.call_count == 1
+    finally:
+        await server.stop()
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
