--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -67,6 +67,14 @@
         assert callable(getattr(importlib.import_module(module), name)), test_id
 
 
+def test_every_test_of_the_operators_stories_exists():
+    named = re.findall(r"^\| `(tests\.[\w.]+)` \|$", _doc("operators-stories.md"), re.M)
+    assert len(named) > 20
+    for test_id in named:
+        module, _, name = test_id.rpartition(".")
+        assert callable(getattr(importlib.import_module(module), name)), test_id
+
+
 def test_code_and_docs_hold_no_machine_paths():
     pages = [*pathlib.Path(ROOT / "docs").rglob("*.md"), ROOT / "README.md"]
     text = _source() + "\n".join(page.read_text() for page in pages)
