Finish an answer during a stop when another request is arriving

Found by reading the change before: with the headers of a second request on the way, a connection got 0.5 s for them, and was closed then although the answer to the first request was not complete. The new test failed before. Such a connection is closed after the answer, as before the change; the second request is not read.

--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -157,7 +157,9 @@
         uvicorn calls this once when the server stops. A connection without any request
         so far was just accepted, and its request is on the way.
         """
-        if self.cycle is not None and not self._reading_headers or self._rejected:
+        serving = self.cycle is not None and not self.cycle.response_complete
+        expects_request = self.cycle is None or self._reading_headers
+        if serving or self._rejected or not expects_request:
             super().shutdown()
             return
         self._stopping = True
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -69,6 +69,21 @@
         await stopping
 
 
+async def test_a_planned_stop_cuts_an_answer_when_another_request_is_arriving():
+    async def slow(engine, request, writer) -> None:
+        await asyncio.sleep(1.0)
+        await respond_with_id(engine, request, writer)
+
+    async with running_relay(slow) as relay:
+        reader, writer = await _connect(relay)
+        writer.write(_lookup("r1") + _lookup("r2")[:30])
+        await relay.until(lambda: relay.received_count() == 1)
+        await relay.stop()
+        reply = await read_response(reader)
+        assert (reply.status, reply.body) == (200, b"i-0")
+        assert relay.received_count() == 1
+
+
 async def test_a_planned_stop_cuts_requests_that_wait_for_a_backend_server():
     # The engine asks to be sent nothing for longer than the node may take to stop.
     document = configuration(routes=[route("lookup", "safe", "booking")])
