--- a/src/tanagerkeel/gateways/exchange/_pool.py
+++ b/src/tanagerkeel/gateways/exchange/_pool.py
@@ -17,6 +17,9 @@
 DEFAULT_IDLE_S = 2.0
 # A connection is closed this time before the backend server would close it.
 CLOSE_MARGIN_S = 0.6
+# Idle connections kept to one address. A backend server bounds the connections of all
+# nodes together, and requests that may run only once add one each.
+MAX_IDLE = 4
 
 
 @attrs.define(auto_exc=True)
@@ -81,6 +84,8 @@
         connection.idle_since_s = self._clock.monotonic()
         idle = self._idle.setdefault(connection.address, collections.deque())
         idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.popleft().close()
 
     def close_address(self, address: str) -> None:
         """Close all idle connections to an address."""
--- a/src/tanagerkeel/relay_entry/_reservations.py
+++ b/src/tanagerkeel/relay_entry/_reservations.py
@@ -18,6 +18,7 @@
     ConnectError,
     ConnectionPool,
     RawHead,
+    ReplyEnd,
 )
 from tanagerkeel.relay import BackendServer, ReplyHead
 from tanagerkeel.relay_entry._protocols import (
@@ -160,6 +161,7 @@
             return None
         head = None
         body_bytes = 0
+        complete = False
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 sent_s = self._monotonic()
@@ -174,8 +176,12 @@
                         if body_bytes > MAX_ANSWER_BYTES:
                             return None
                     event = await connection.next_event()
+                complete = isinstance(event, ReplyEnd)
         except TimeoutError:
             head = None
         finally:
-            connection.abort()
+            if complete:
+                connection.close()
+            else:
+                connection.abort()
         return head
--- a/tests/platform/test_late_answers.py
+++ b/tests/platform/test_late_answers.py
@@ -3,6 +3,7 @@
 import time
 
 from panunumpa import PlatformBackendCodec
+from tanagerkeel.gateways.exchange._pool import MAX_IDLE
 from tanagerkeel.relay_entry._reservations import Reservation, Reservations
 from tests.platform.fixtures import (
     LONG_CALL,
@@ -11,6 +12,7 @@
     ReceivedRequest,
     configuration,
     event,
+    respond_with_id,
     response_head,
     route,
     running_relay,
@@ -96,5 +98,18 @@
         assert reply.body != b"first"
 
 
+async def test_requests_that_run_once_leave_idle_connections_without_end():
+    async with running_relay(respond_with_id) as relay:
+        for number in range(MAX_IDLE + 4):
+            options = {"method": "POST", "body": b"seat", "request_id": f"r{number}"}
+            assert (await relay.call("/reserve/x", **options)).status == 200
+        pool = relay.node._pool
+        opened = pool.opened
+        assert sum(map(len, pool._idle.values())) == MAX_IDLE
+        # A repeatable request uses one of them.
+        assert (await relay.call("/lookup/x", request_id="l1")).status == 200
+        assert pool.opened == opened
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
