--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -293,7 +293,7 @@
         if left_out:
             self._log_left_out(frame, left_out)
         now = self._state.clock.monotonic()
-        valid_s = min(MAX_VALID_S, update.valid_ms / 1_000)
+        valid_s = self._valid_s(frame.sender, update)
         self._state.assignments.update_peer(
             frame.sender,
             (frame.session, frame.sequence),
@@ -318,6 +318,14 @@
             self._state.record_gone_report(frame.sender, backend_id)
         self._state.notify_changed()
 
+    def _valid_s(self, sender: str, update: _PeerUpdate) -> float:
+        """Return how long an update is valid here, in seconds."""
+        peer = self._state.peers.get(sender)
+        if peer is None or peer.failure_domain == self._state.settings.failure_domain:
+            # Within a failure domain, updates are repeated as in a small fleet.
+            return PEER_TIMEOUT_S
+        return min(MAX_VALID_S, update.valid_ms / 1_000)
+
     def _log_left_out(self, frame: Frame, left_out: tuple[str, ...]) -> None:
         """Log once for each start of a peer what this build can't read."""
         if self._partly_read_sessions.get(frame.sender) == frame.session:
--- a/tests/test_relay_updates_across_builds.py
+++ b/tests/test_relay_updates_across_builds.py
@@ -95,6 +95,17 @@
     assert _running(state) == {}
 
 
+def test_a_silent_node_of_the_own_domain_counts_as_heard_for_as_long_as_others():
+    for domain, heard in (("zone-a", False), ("zone-b", True)):
+        state, task = _task()
+        state.peers.put(Peer("n2", domain, "127.0.0.1:1", 1))
+        state.peers.put(Peer("n3", domain, "127.0.0.1:1", 1))
+        _receive(task, [[], *REST, 24_000])
+        state.clock.advance(6.0)
+        state.record_peer_retries("n3", {})
+        assert state._hears("n2", state.clock.monotonic()) is heard
+
+
 def test_a_reordered_or_repeated_update_changes_nothing():
     state, task = _task()
     _receive(task, [[], *REST], 2)
