Confirm keys two seconds after the store returns from an older copy

Seen by: operators. A key that was revoked while a node could not reach the store, and whose revocation the store then lost, was taken by that node until the bound after its next loss of the store, instead of the bound after the acknowledgement.

Cause: the node's listing of the older copy confirmed its keys.

Evidence: test_a_revocation_that_the_store_lost_counts_from_its_first_write, listed as known red, failed always before and passes now, unchanged.

--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -42,6 +42,9 @@
 # the bound on revoked keys, in seconds. The bound applies to when a caller sends, which
 # is before the node decides, so the margin only has to cover clock drift.
 CONFIRM_MARGIN_S = 0.2
+# How long operators and backend servers take to write again what the store has lost, in
+# seconds.
+REWRITE_S = 2.0
 # Weight of the newest call in the moving average of a plain service's call times.
 CALL_TIME_WEIGHT = 0.1
 # Assumed call time of a plain service that has not answered yet, in milliseconds.
@@ -122,6 +125,9 @@
     _unread_retry_after: set[tuple[str, int]] = attrs.field(factory=set)
     _unread_rate_limit: set[tuple[str, int]] = attrs.field(factory=set)
     _change_event: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Boot-clock time at which the operator has written again what a copy of the store
+    # lacked, in seconds.
+    _rewritten_s: float = float("-inf")
     # Whether the next listing is the first one of a new era of the store.
     _copy_listed: bool = False
     # Failure domains that are out of service although that listing didn't say so.
@@ -234,6 +240,18 @@
             return True
         return self.confirmed_age_s < bounds.revoke_ms / 1_000 - CONFIRM_MARGIN_S
 
+    def record_confirmation(self, confirmed_s: float) -> None:
+        """
+        Record that the store confirmed the configuration in force.
+
+        An older copy of the store may lack a revocation that this node has not read, so
+        that confirmations count only once the operator has had time to write it again.
+
+        :param confirmed_s: boot-clock time of the confirmation, in seconds.
+        """
+        if confirmed_s >= self._rewritten_s:
+            self.confirmed_s = max(self.confirmed_s, confirmed_s)
+
     def notify_changed(self) -> None:
         """Wake the tasks that wait for a change of running work or of capacity."""
         self._change_event.set()
@@ -336,6 +354,7 @@
     def begin_store_era(self) -> None:
         """Record that the store has returned from an older copy, before its listing."""
         self.backends.begin_store_era(self.clock.monotonic())
+        self._rewritten_s = self.clock.boottime() + REWRITE_S
         self._copy_listed = True
 
     def keep_only(self, backend_ids: set[str], domains_out: set[str]) -> None:
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -210,8 +210,7 @@
                 self._apply_change(change, answer.revision)
             self._exchange.revision = answer.revision
         self._record_success()
-        confirmed_s = sent_s - answer.age_ms / 1_000
-        self._state.confirmed_s = max(self._state.confirmed_s, confirmed_s)
+        self._state.record_confirmation(sent_s - answer.age_ms / 1_000)
         self._state.expire()
 
     def _decode_changes(self, answer: StoreAnswer) -> list[StoreEntry | str] | None:
@@ -251,7 +250,7 @@
             self._exchange.revision = None
             return
         self._record_success()
-        self._state.confirmed_s = max(self._state.confirmed_s, confirmed_s)
+        self._state.record_confirmation(confirmed_s)
         self._state.expire()
 
     async def _fetch_changes(self, after: int, wait_ms: int) -> float:
