Refuse at once what no idle backend server could begin in time

A season-review came back at 51.217 s with 0.97 s left, reached no engine, and got no answer up to its deadline.

Cause: a request without a placement was refused only when its objective had passed, which is later than its deadline when a caller comes back with little time.

Evidence: test_a_request_that_no_idle_engine_can_begin_in_time_waits_to_its_deadline failed before: a prompt of 190,000 tokens with 450 ms left, on two idle engines.

The change: while no placement is found, the same candidates are rated as if they ran nothing; if none would begin in time, waiting can't help, and the request is refused with 503 at once. Not while the request may be sent to further backend servers later, such as one without free memory for half a second.

--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -175,11 +175,28 @@
                 return Refusal(ResultCode.OVERLOADED, reason, for_s)
             reason = f"no usable backend server of {service}"
             return Refusal(ResultCode.NO_BACKEND, reason, CAPACITY_RETRY_S)
+        if not run.reply.started and not self._feasible_when_idle(run, now):
+            reason = f"none of {candidates} backend servers would begin in time if idle"
+            return Refusal(ResultCode.OVERLOADED, reason, CAPACITY_RETRY_S)
         if now > run.objective_due_s and not run.reply.started:
             reason = f"all {candidates} backend servers of {service} are at capacity"
             return Refusal(ResultCode.OVERLOADED, reason, CAPACITY_RETRY_S)
         return None
 
+    def _feasible_when_idle(self, run: RelayRun, now: float) -> bool:
+        """
+        Return whether a backend server that ran nothing would begin in time.
+
+        One that the request may be sent to later, but not now, may do so.
+        """
+        idle = [attrs.evolve(c, assignments=()) for c in self._candidates(run, now)]
+        usable = self._state.backends.usable(run.admitted.service.name, now)
+        untried = sum(record.server.backend_id not in run.tried for record in usable)
+        if untried > len(idle):
+            return True
+        demand = run.demand(now, self._state.average_call_ms(run.admitted.service.name))
+        return choose_placement(idle, demand, now) is not None
+
     def _usable(self, run: RelayRun, now: float) -> Iterator[BackendRecord]:
         """Yield what the request may be sent to, held-off backend servers included."""
         return (
