--- a/src/tanagerkeel/_compact.py
+++ b/src/tanagerkeel/_compact.py
@@ -39,6 +39,11 @@
     item: "_FieldReader | None" = None
 
     def read(self, raw: msgspec.Raw) -> Any:
+        """
+        Return the field's value.
+
+        :raises msgspec.DecodeError: when ``raw`` doesn't match the field's type.
+        """
         value = self.decoder.decode(raw)
         return value if self.convert is None else self.convert(value)
 
@@ -49,6 +54,9 @@
     Reads the instances of one attrs class.
 
     :param cls: the class.
+    :param decoder: reads a whole instance, as a Struct.
+    :param convert: makes the instance of that Struct.
+    :param fields: read one field each, in the order of the class.
     """
 
     _cls: type[T]
