Let a test's first request outlast a pause of the machine

It has to wait behind a first one whose deadline was 0.5 s; a forced pause of 0.4 s between the two gives the same failure, and none with a deadline of 2 s. All assertions are as they were.

--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -126,7 +126,7 @@
 
     full = await _observed_harness(max_streams=1)
     full.engines.engines[1].script.append("hang")
-    first = asyncio.create_task(full.answer_error(make_request(deadline_s=0.5)))
+    first = asyncio.create_task(full.answer_error(make_request(deadline_s=2.0)))
     await until(lambda: full.context.admission.streams == 1)
     error = await full.answer_error(make_request(deadline_s=0.2))
     assert (error.result, error.ran) == (ResultCode.DEADLINE_EXCEEDED, Ran.NO)
