--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -268,6 +268,7 @@
     :param closed_connections: number of connections that ended, closed or reset by
         either side.
     :param order_status: the status that it responds to orders with.
+    :param order_delay_s: time that it takes to respond to an order, in seconds.
     :param repeats_order_answers: whether it sends a second copy of its answer to an
         order when the next request arrives on the connection.
     :param leaving: whether its responses announce that it leaves.
@@ -283,6 +284,7 @@
     orders: list[dict] = attrs.field(factory=list)
     closed_connections: int = 0
     order_status: int = 200
+    order_delay_s: float = 0.0
     repeats_order_answers: bool = False
     leaving: bool = False
     retry_after: str | None = None
@@ -343,6 +345,7 @@
                     order = request
                     writer.write(self.late_answers.pop(writer, b""))
                     self.orders.append(json.loads(request.body))
+                    await asyncio.sleep(self.order_delay_s)
                     await write_response(
                         writer, request, status=self.order_status, body=b'{"free":1}'
                     )
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -7,13 +7,28 @@
 
 import asyncio
 import contextlib
+import random
+import types
 import unittest.mock
 
 import attrs
 
-from tanagerkeel.gateways.exchange import ConnectError, ConnectionPool
-from tanagerkeel.relay_entry import _forward_intake
+from panunumpa import PlatformBackendCodec
+from tanagerkeel.clock import ManualClock
+from tanagerkeel.gateways.exchange import ConnectError, ConnectionPool, RawHead
+from tanagerkeel.relay import BackendServer
+from tanagerkeel.relay_entry import (
+    BackendUpdate,
+    RelayBounds,
+    RelaySettings,
+    _forward_intake,
+)
+from tanagerkeel.relay_entry._forwarder import Forwarder
+from tanagerkeel.relay_entry._metrics import RelayMetrics
+from tanagerkeel.relay_entry._peers import Peer
+from tanagerkeel.relay_entry._state import RelayState
 from tests.platform.fixtures import (
+    ANY_PORT,
     CHUNKED_HEADERS,
     WAIT_TIMEOUT_S,
     Engine,
@@ -135,6 +150,24 @@
     )
 
 
+def test_an_announcement_through_a_peer_is_kept_for_an_unknown_incarnation():
+    # It was dropped, and the engine was used as soon as its entry had come.
+    settings = RelaySettings("n1", "zone-a", *[ANY_PORT] * 6, bounds=RelayBounds())
+    state = RelayState(settings, ManualClock())
+    forwarder = Forwarder(state, None, None, None, RelayMetrics(), random.Random(1))
+    run = types.SimpleNamespace(request=types.SimpleNamespace(request_id="r1"))
+    peer = Peer("n2", "zone-a", ANY_PORT, 1)
+    raw = RawHead(200, ((b"Server-Leaving", b"1"),))
+    head = PlatformBackendCodec().decode(raw)
+    forwarder._record_head(run, peer, head, ("i-0", 5), 0.0)
+    for number, born in ((0, 5), (1, 5), (0, 6)):
+        server = BackendServer(f"i-{number}", born, "models", "a:1", "zone-a", 8)
+        state.apply(BackendUpdate(server), 10 + born)
+        usable = state.backends.usable("models", state.clock.monotonic())
+        found = {record.server.incarnation for record in usable}
+        assert (server.incarnation in found) == (server.incarnation != ("i-0", 5))
+
+
 async def test_first_tries_at_a_node_without_engines_are_served():
     for mode in ("hang", "refuse"):
         async with cut_relay(*[respond_with_id] * 6, mode=mode) as (relay, _):
--- a/tests/test_relay_beliefs.py
+++ b/tests/test_relay_beliefs.py
@@ -34,6 +34,17 @@
     assert _usable(table, 0.2) == ["e2"]
 
 
+def test_a_node_whose_first_call_failed_believes_a_removal():
+    # Before its first contact with the store, a node knows no entry that could lapse.
+    table = BackendTable()
+    table.mark_store_unreachable()
+    for revision, server in enumerate((FIRST, SECOND), 1):
+        table.put(server, revision, 1.0)
+    table.mark_store_reachable(1.0)
+    assert table.remove("e1", 1.5)
+    assert _usable(table, 1.5) == ["e2"]
+
+
 def test_entries_that_expire_in_an_outage_are_kept_until_servers_can_reregister():
     table = _table()
     table.mark_store_unreachable()
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tanagerkeel import codec
 from tanagerkeel.clock import ManualClock
 from tanagerkeel.gateways.platform import Listing, PlatformUnavailable
 from tanagerkeel.relay import ChangeBatch, ChangeLog, LargeValueCache, watchers
@@ -148,18 +149,19 @@
     sent: list = attrs.field(factory=list)
     remote: "_FakeDatagrams | None" = None
     name: str = ""
+    # Receivers by the peer's id, for more than two nodes.
+    remotes: "dict[str, _FakeDatagrams]" = attrs.field(factory=dict)
 
     def register_handler(self, kind, handler):
         self.handlers[kind] = handler
 
     def send_to(self, peer, kind, message):
-        from tanagerkeel import codec
-
         self.sent.append((kind, message))
-        if self.remote is not None:
+        remote = self.remotes.get(peer.node_id, self.remote)
+        if remote is not None:
             payload = codec.pack_compact(message)
             asyncio.get_running_loop().call_soon(
-                self.remote.handlers[kind], self.name, payload
+                remote.handlers[kind], self.name, payload
             )
         return True
 
@@ -292,8 +294,6 @@
 
 async def test_an_answer_without_a_pending_query_is_dropped():
     _, (_, datagrams, poller), _ = _pair()
-    from tanagerkeel import codec
-
     forged = codec.pack_compact(StoreAnswer(99, 50, 0, True))
     datagrams.handlers[ANSWER_KIND]("n2", forged)
     datagrams.remote = None
@@ -365,5 +365,39 @@
     assert abs(state.confirmed_age_s - 0.5) < 0.01
 
 
+class _IgnoringDecoder:
+    """Decodes no entry, as for keys that nodes don't use."""
+
+    def decode_written(self, key, value):
+        return None
+
+
+async def test_an_answer_older_than_a_hint_is_not_taken_for_current():
+    # A watcher whose own watch is silent answers for up to 2.5 s as if nothing had
+    # changed, while the other watcher has sent a hint of the change.
+    clock = ManualClock()
+    domains = {"n1": "zone-a", "n2": "zone-a", "n3": "zone-a"}
+    domains |= {f"n{n}": "zone-b" for n in range(4, 30)}
+    first, second = watchers(domains, "zone-a")
+    (own,) = {"n1", "n2", "n3"} - {first, second}
+    nodes = {name: _node(name, clock) for name in (own, first, second)}
+    for name, (state, datagrams, exchange) in nodes.items():
+        for peer, domain in domains.items():
+            state.peers.put(Peer(peer, domain, "127.0.0.1:1", 1))
+        state.confirmed_s = clock.boottime()
+        exchange.era, exchange.revision = 0, 13 if name == second else 12
+        datagrams.remotes = {other: nodes[other][1] for other in nodes}
+    batch = ChangeBatch(12, 13, (("other", zlib.compress(b"v"), 13, 0),))
+    nodes[second][2].change_log.add(batch)
+    state, _, poller = nodes[own]
+    nodes[second][2].send_hints(13)
+    await asyncio.sleep(0)
+    task = StoreTask(_Store(), _IgnoringDecoder(), state, random.Random(1), poller)
+    polling = asyncio.create_task(task.poll_watchers())
+    await asyncio.sleep(0.05)
+    polling.cancel()
+    assert poller.revision == 13
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
