End a watch that lacks a change which a peer has had for half a second

What callers saw: DRAIN. Requests reached engines that drained, or whose entry had ended, more than two seconds after the store had accepted it.

Cause: a watch whose connection has gone silent is noticed after 3.7 s, and a node counts as in touch 3 s after a disruption. Its peers had the change all the while. The same in a large fleet: a watcher with a silent watch answers for up to 2.5 s as if nothing had changed, and polling nodes took its answer although the other watcher had sent a hint.

Why it works: nodes that watch the store send hints of changes already; in a small fleet now to all nodes, and a node that watches acts on them. A watch without a response half a second after a hint fails, and the node asks its peers and calls again. Polling nodes prefer an answer that includes the hinted revision. The first call after a failed one waits for no change, so that a second silent connection is found sooner. Messages are unchanged; older builds ignore hints while they watch.

--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -69,6 +69,9 @@
 # While the watchers answer but can't reach the store, a polling node calls the store
 # itself at this interval, in seconds: the store may refuse some nodes and not others.
 STORE_RETRY_S = 2.5
+# How long an open watch may lack a change of which a peer has sent a hint, in seconds;
+# its connection then counts as silent. Longer than the response of a slow store takes.
+HINT_PATIENCE_S = 0.5
 # How many peers a node asks, one after the other, while its own calls fail.
 MAX_ASKED_PEERS = 3
 # Upper bound of the random pause after a failed call, in seconds: for the first
@@ -132,6 +135,13 @@
         )
         return share * self._state.settings.bounds.drain_ms / 1_000
 
+    @property
+    def _wait_ms(self) -> int:
+        if self._failures:
+            # A short call shows sooner whether the store can be reached again.
+            return 0
+        return WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
+
     async def run(self) -> None:
         """Mirror the store until cancelled."""
         while True:
@@ -142,9 +152,7 @@
                 if self._polls_watchers:
                     await self.poll_watchers()
                     continue
-                await self.call_store(
-                    WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
-                )
+                await self.call_store(self._wait_ms)
                 if self._delay_next_call:
                     await self._state.clock.sleep(self._batch_delay_s)
             except PlatformUnavailable as error:
@@ -173,6 +181,7 @@
     async def poll_watchers(self) -> None:
         """Poll the watchers once; call the store if none has a current answer."""
         any_answer = False
+        outdated = None
         for name in self._watchers:
             peer = self._state.peers.get(name)
             if peer is None:
@@ -188,10 +197,19 @@
                 await self.call_store(wait_ms=0)
                 return
             any_answer = True
-            if 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
-                await self._apply_answer(answer, sent_s, name)
-                await self._exchange.wait_for_hint(POLL_INTERVAL_S)
-                return
+            if not 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
+                continue
+            if self._exchange.precedes_hint(answer.era, answer.revision):
+                # The other watcher may have the change that a hint has named.
+                outdated = outdated or (answer, sent_s, name)
+                continue
+            await self._apply_answer(answer, sent_s, name)
+            await self._exchange.wait_for_hint(POLL_INTERVAL_S)
+            return
+        if outdated is not None:
+            await self._apply_answer(*outdated)
+            await self._exchange.wait_for_hint(POLL_INTERVAL_S)
+            return
         now = self._state.clock.monotonic()
         if any_answer and now < self._next_store_try_s:
             # The watchers can't reach the store, and this node has called it within
@@ -357,19 +375,34 @@
         return wait_ms / 1_000
 
     async def _watch(self, after: int, wait_ms: int) -> Changes:
-        """Watch for changes, until any other call finds that a new era has begun."""
+        """
+        Watch for changes.
+
+        :raises _EraEnded: when another call finds that a new era has begun.
+        :raises PlatformUnavailable: when the call fails, or when a peer has a change
+            that it should have returned by now.
+        """
         # The caller has just checked that the era is the listing's.
         self._era_changed.clear()
         watch = asyncio.ensure_future(self._store.changes(ALL_KEYS, after, wait_ms))
         era_change = asyncio.ensure_future(self._era_changed.wait())
+        behind = asyncio.ensure_future(
+            self._exchange.wait_until_behind(HINT_PATIENCE_S)
+        )
+        calls = (watch, era_change, behind)
         try:
-            await asyncio.wait((watch, era_change), return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
             if era_change.done():
                 raise _EraEnded
-            return watch.result()
+            if watch.done():
+                return watch.result()
+            self._exchange.forget_hints()
+            raise PlatformUnavailable(
+                f"no response {HINT_PATIENCE_S} s after a peer's hint of a change"
+            )
         finally:
-            watch.cancel()
-            era_change.cancel()
+            for call in calls:
+                call.cancel()
 
     def _record_changes(self, after: int, changes: Changes) -> None:
         """Record the new revision and values; on a watcher, also for other nodes."""
@@ -443,6 +476,7 @@
         self._exchange.revision = listing.revision
         self._exchange.era = listing.era
         self._exchange.change_log.clear()
+        self._exchange.forget_hints()
 
     def _apply_change(
         self, change: StoreEntry | str, revision: int, source: str
--- a/src/tanagerkeel/relay_entry/_watcher_exchange.py
+++ b/src/tanagerkeel/relay_entry/_watcher_exchange.py
@@ -12,7 +12,12 @@
 
 from tanagerkeel import codec
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.relay import ChangeLog, EncodedChange, LargeValueCache
+from tanagerkeel.relay import (
+    SMALL_FLEET_NODES,
+    ChangeLog,
+    EncodedChange,
+    LargeValueCache,
+)
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._state import RelayState
@@ -90,6 +95,13 @@
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _pending: dict[int, asyncio.Future] = attrs.field(factory=dict)
     _hint_received: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Era and revision of the newest change that a peer has sent a hint of.
+    _hinted: tuple[int, int] = (-1, -1)
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a peer has sent a hint of a change that this node doesn't have."""
+        return self.revision is not None and self.precedes_hint(self.era, self.revision)
 
     def __attrs_post_init__(self) -> None:
         self._peer_updates.register_handler(QUERY_KIND, self._on_query)
@@ -120,16 +132,43 @@
 
     def send_hints(self, revision: int) -> None:
         """
-        Notify the other nodes of this failure domain that the store has changed.
+        Notify other nodes that the store has changed.
+
+        These are all nodes of a small fleet, in which each one watches the store, and
+        those of this failure domain in a larger one.
 
         :param revision: the revision that this node has applied.
         """
         own_domain = self._state.settings.failure_domain
-        for peer in self._state.peers.others:
-            if peer.failure_domain == own_domain:
+        others = self._state.peers.others
+        to_all = len(others) < SMALL_FLEET_NODES
+        for peer in others:
+            if to_all or peer.failure_domain == own_domain:
                 hint = _Hint(revision, self.era or 0)
                 self._peer_updates.send_to(peer, HINT_KIND, hint)
 
+    def precedes_hint(self, era: int, revision: int) -> bool:
+        """Return whether a peer has sent a hint of a newer revision than this one."""
+        return (era, revision) < self._hinted
+
+    def forget_hints(self) -> None:
+        """Forget the hints so far, as after a listing or a call because of them."""
+        self._hinted = (-1, -1)
+
+    async def wait_until_behind(self, patience_s: float) -> None:
+        """
+        Wait until this node still lacks a change some time after a hint of it.
+
+        :param patience_s: the time, in seconds.
+        """
+        while True:
+            if self.is_behind:
+                await asyncio.sleep(patience_s)
+                if self.is_behind:
+                    return
+            await self._hint_received.wait()
+            self._hint_received.clear()
+
     def end_wait(self) -> None:
         """End the wait for a hint, as the store has to be called at once."""
         self._hint_received.set()
@@ -187,4 +226,5 @@
         if self.revision is None:
             return
         if (hint.era, hint.revision) > (self.era, self.revision):
+            self._hinted = max(self._hinted, (hint.era, hint.revision))
             self._hint_received.set()
