Keep an announcement through a peer for an incarnation that is not known here

What callers saw: suspected only. A node that has passed on a response that announces leaving may send the engine a request later.

Cause: a node that forwards a request dropped what the response said of the engine when the incarnation that the peer names had no entry here, or another one. Once the entry came, the engine was used.

Why it works: the mark is kept by incarnation, apart from the entries, and the peer names the incarnation.

--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -388,18 +388,19 @@
             self._drop(name, now)
         return gone
 
-    def record_leaving(self, server: BackendServer) -> bool:
+    def record_leaving(self, incarnation: tuple[str, int]) -> bool:
         """
         Record that a backend server announced in a response that it leaves.
 
         It gets no new work from then on, whatever its entry says. Another incarnation
         starts without the mark.
 
+        :param incarnation: its id and start time; its entry may be unknown here.
         :returns: whether that was not known yet.
         """
-        if server.incarnation in self._leaving:
+        if incarnation in self._leaving:
             return False
-        self._leaving[server.incarnation] = None
+        self._leaving[incarnation] = None
         if len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
         return True
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -242,12 +242,17 @@
         sent_s: float,
     ) -> bool:
         """Record what the backend server that the peer chose says about itself."""
-        record = None if backend is None else self._state.backends.get(backend[0])
+        if backend is None:
+            return False
+        record = self._state.backends.get(backend[0])
         if record is not None and record.server.incarnation == backend:
             request_id = run.request.request_id
             self._state.record_head(
                 record.server, head, sent_s, request_id, peer.node_id
             )
+        elif head.leaving:
+            # Its entry may come later, when the announcement is long past.
+            self._state.record_leaving(backend, run.request.request_id, peer.node_id)
         return False
 
     def _record(self, run: RelayRun, peer: Peer, outcome: AttemptOutcome) -> None:
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -448,7 +448,7 @@
                 return False
             server = record.server
         if head.leaving:
-            self._record_leaving(server, request_id, peer)
+            self.record_leaving(server.incarnation, request_id, peer)
         self._record_rate_limit(server, head.rate_limit, sent_s)
         if head.status == UNAVAILABLE_STATUS and head.retry_after is not None:
             return self._hold_off(server, head.retry_after)
@@ -539,19 +539,28 @@
         )
         return 1 + heard, len(nodes)
 
-    def _record_leaving(
+    def record_leaving(
         self,
-        server: BackendServer,
+        incarnation: tuple[str, int],
         request_id: str | None = None,
         peer: str | None = None,
     ) -> None:
-        if not self.backends.record_leaving(server):
+        """
+        Record that a backend server announced in a response that it leaves.
+
+        :param incarnation: its id and start time; its entry may be unknown here.
+        :param request_id: the request, for the log; None for an order.
+        :param peer: the node that passed the response on, for the log, if any.
+        """
+        if not self.backends.record_leaving(incarnation):
             return
+        backend_id, started_ms = incarnation
+        record = self.backends.get(backend_id)
         log(
             LogEvent.BACKEND_LEAVING,
-            backend=server.backend_id,
-            service=server.service,
-            born=server.started_ms,
+            backend=backend_id,
+            service=None if record is None else record.server.service,
+            born=started_ms,
             request=request_id,
             peer=peer,
         )
--- a/tests/platform/mutants/ignores_leaving.py
+++ b/tests/platform/mutants/ignores_leaving.py
@@ -3,5 +3,5 @@
 from tanagerkeel.relay_entry._state import RelayState
 from tests.platform.mutants.start import start
 
-RelayState._record_leaving = lambda state, server, *_: None
+RelayState.record_leaving = lambda state, *_: None
 start()
--- a/tests/platform/test_prompt_sections.py
+++ b/tests/platform/test_prompt_sections.py
@@ -193,7 +193,7 @@
                     entry = engine.store_entry("models", state="draining", sequence=2)
                     relay.store.write("servers/i-0", entry)
                 case "leaving":
-                    state.backends.record_leaving(server)
+                    state.backends.record_leaving(server.incarnation)
                 case "entry":
                     relay.store.delete("servers/i-0")
             await relay.until(
--- a/tests/test_relay_leaving.py
+++ b/tests/test_relay_leaving.py
@@ -46,7 +46,7 @@
         if record is None:
             return
         server = record.server
-        new = self.table.record_leaving(server)
+        new = self.table.record_leaving(server.incarnation)
         assert new == ((backend_id, server.started_ms) not in self.announced)
         self.announced.add((backend_id, server.started_ms))
 
@@ -96,7 +96,7 @@
     table = BackendTable()
     for number in range(5_000):
         server = BackendServer(f"i-{number}", 1, SERVICE, ADDRESSES[0], "zone-a", 8)
-        assert table.record_leaving(server)
+        assert table.record_leaving(server.incarnation)
     assert not table.is_leaving(BackendServer("i-0", 1, SERVICE, "a:1", "zone-a", 8))
     assert table.is_leaving(BackendServer("i-4999", 1, SERVICE, "a:1", "zone-a", 8))
 
