Ask peers for as long as own calls to the store fail, and count repeated failures once

Requests reached an engine 2.2 to 2.5 s after its entry had ended, at a node whose calls to the store got no response for 4 s.

Why it works: a task of its own asks peers every 0.4 s (0.8 s in large fleets) while own calls fail or a gap is unexplained. Changes are taken from any answer; whether the store was away is judged by when it last answered the peer, which is a field of its own in answers. Changes that a peer has sent in the meantime are not applied again from the own watch.

The tests' nodes now wait until each has had contact since all others began, as a peer tells nothing of the time before its own start.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -51,6 +51,7 @@
     SectionReport,
     StartReport,
 )
+from tanagerkeel.relay._store_contact import ContactReport
 from tanagerkeel.relay._store_era import EraChange, StoreEra
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
 from tanagerkeel.relay._update_intervals import (
@@ -82,6 +83,7 @@
     "ChangeLog",
     "CallerAccount",
     "ColdStartLimiter",
+    "ContactReport",
     "DecodeBatch",
     "Demand",
     "EngineProfile",
--- a/src/tanagerkeel/relay/_backends.py
+++ b/src/tanagerkeel/relay/_backends.py
@@ -17,7 +17,7 @@
     OUT_OF_REACH_FAILURES,
     ServiceReach,
 )
-from tanagerkeel.relay._store_contact import StoreContact
+from tanagerkeel.relay._store_contact import ContactReport, StoreContact
 
 __all__ = [
     "BackendServer",
@@ -265,18 +265,13 @@
         """Return whether a peer's contact could rule out that the store was away."""
         return self._store_contact.needs_peer(now)
 
-    def record_peer_contact(self, unbroken_s: float, age_s: float, now: float) -> bool:
-        """
-        Record a peer's contact; return whether it rules out that the store was away.
-
-        :param unbroken_s: for how long the store has not been away, as the peer knows.
-        :param age_s: time since the store confirmed the peer's state.
-        """
-        return self._store_contact.record_peer(unbroken_s, age_s, now)
+    def record_peer_contact(self, report: ContactReport, now: float) -> bool:
+        """Record a peer's report; return whether it rules out an outage."""
+        return self._store_contact.record_peer(report, now)
 
-    def store_unbroken_s(self, now: float) -> float | None:
-        """Return for how long the store has not been away; None if that is unknown."""
-        return self._store_contact.unbroken_s(now)
+    def contact_report(self, now: float) -> ContactReport | None:
+        """Return what this node knows of the store's presence; None if nothing."""
+        return self._store_contact.report(now)
 
     def begin_store_era(self, now: float) -> None:
         """Record that the platform's store has returned from an older copy."""
--- a/src/tanagerkeel/relay/_store_contact.py
+++ b/src/tanagerkeel/relay/_store_contact.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-__all__ = ["StoreContact"]
+__all__ = ["ContactReport", "StoreContact"]
 
 # Backend servers whose entries expired during an outage of the platform have registered
 # again about this long after its end, in seconds, as the platform documents. An entry
@@ -17,10 +17,23 @@
 # Longest time between two calls that succeed one after the other, in seconds. After a
 # longer one this process was suspended, and an outage may have gone unnoticed.
 MAX_PAUSE_S = 5.0
-# A peer's contact counts as lasting if the store confirmed the peer's state within this
-# time, in seconds: a full watch call and the pause after a change. A shorter outage
-# lets no entry lapse, as that takes several heartbeats without a response.
-MAX_PEER_AGE_S = 2.5
+# A peer's contact counts as lasting if the store has answered it within this time, in
+# seconds. A shorter outage lets no entry lapse, as that takes three heartbeats of a
+# backend server without a response.
+MAX_PEER_AGE_S = 2.4
+
+
+@attrs.frozen
+class ContactReport:
+    """
+    What a node knows of the store's presence; times are in seconds before now.
+
+    :param unbroken_s: for how long the store has not been away.
+    :param age_s: time since the store last answered the node.
+    """
+
+    unbroken_s: float
+    age_s: float
 
 
 @attrs.define
@@ -59,16 +72,20 @@
 
         :param entries_known: whether this node knows entries, which may lapse.
         """
+        was_reachable = not self._unreachable
         self._unreachable = True
         self._ruled_out = False
-        if not entries_known:
-            return
-        allowance_end_s = self._recovered_s + REREGISTRATION_S
-        if self._gap_start_s is None or self._last_success_s >= allowance_end_s:
-            if self._gap_start_s is not None:
-                self._since_s = self._recovered_s
+        if was_reachable and self._gap_start_s is not None:
+            self._settle_gap()
+        if self._gap_start_s is None and entries_known:
             self._gap_start_s = self._last_success_s
 
+    def _settle_gap(self) -> None:
+        """End an unexplained gap if no entry that is missing may come back any more."""
+        if self._last_success_s >= self._recovered_s + REREGISTRATION_S:
+            self._since_s = self._recovered_s
+            self._gap_start_s = None
+
     def record_success(self, now: float) -> None:
         """Record that a call succeeded."""
         if self._since_s is None or now - self._last_success_s > MAX_PAUSE_S:
@@ -96,25 +113,21 @@
             and (self._unreachable or now < self._recovered_s + REREGISTRATION_S)
         )
 
-    def unbroken_s(self, now: float) -> float | None:
-        """Return for how long the store has not been away; None if that is unknown."""
+    def report(self, now: float) -> ContactReport | None:
+        """Return what this node knows; None while its calls fail."""
         if self._unreachable or self._since_s is None:
             return None
-        if self._gap_start_s is None:
-            return now - self._since_s
-        return now - max(self._since_s, self._recovered_s)
+        since_s = self._since_s
+        if self._gap_start_s is not None:
+            since_s = max(since_s, self._recovered_s)
+        return ContactReport(now - since_s, now - self._last_success_s)
 
-    def record_peer(self, unbroken_s: float, age_s: float, now: float) -> bool:
-        """
-        Record a peer's contact; return whether it rules out that the store was away.
-
-        :param unbroken_s: for how long the store has not been away, as the peer knows.
-        :param age_s: time since the store confirmed the peer's state.
-        """
+    def record_peer(self, report: ContactReport, now: float) -> bool:
+        """Record a peer's report; return whether it rules out an outage."""
         if (
             not self.needs_peer(now)
-            or age_s > MAX_PEER_AGE_S
-            or now - unbroken_s > self._gap_start_s
+            or report.age_s > MAX_PEER_AGE_S
+            or now - report.unbroken_s > self._gap_start_s
         ):
             return False
         if self._unreachable:
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -183,6 +183,7 @@
             WatcherExchange(self.state, self._peer_updates),
         )
         self._start_task("store", store.run)
+        self._start_task("store gaps", store.ask_in_gaps)
         self._start_task("presence", self._presence.run)
         self._start_task("sweep", self._sweep_idle_connections)
         self._start_task("delay", self._measure_loop_delay)
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -30,7 +30,7 @@
     StoreEntry,
     WatchedStore,
 )
-from tanagerkeel.relay import ChangeBatch, watchers
+from tanagerkeel.relay import SMALL_FLEET_NODES, ChangeBatch, watchers
 from tanagerkeel.relay_entry._peers import Peer, node_id_from_key
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_updates import (
@@ -72,8 +72,10 @@
 # How long an open watch may lack a change of which a peer has sent a hint, in seconds;
 # its connection then counts as silent. Longer than the response of a slow store takes.
 HINT_PATIENCE_S = 0.5
-# How many peers a node asks, one after the other, while its own calls fail.
+# How many peers a node asks, one after the other, while its own calls fail, and the
+# time between two rounds of a small fleet, in seconds.
 MAX_ASKED_PEERS = 3
+ASK_INTERVAL_S = 0.4
 # Upper bound of the random pause after a failed call, in seconds: for the first
 # failure, and its maximum after further ones. Long enough to limit calls, as the
 # platform counts refused ones too; short enough for a configuration to be in force two
@@ -109,6 +111,7 @@
     # Whether the last call succeeded; None before the first call has ended.
     _reachable: bool | None = None
     _delay_next_call: bool = False
+    _in_gap: asyncio.Event = attrs.field(factory=asyncio.Event)
     _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -146,9 +149,6 @@
         """Mirror the store until cancelled."""
         while True:
             try:
-                now = self._state.clock.monotonic()
-                if self._state.backends.needs_peer_contact(now):
-                    await self._ask_peers()
                 if self._polls_watchers:
                     await self.poll_watchers()
                     continue
@@ -157,7 +157,6 @@
                     await self._state.clock.sleep(self._batch_delay_s)
             except PlatformUnavailable as error:
                 self._record_failure(error)
-                await self._ask_peers()
                 await self._state.clock.sleep(
                     full_jitter_s(
                         self._failures, self._random, RETRY_BASE_S, RETRY_MAX_S
@@ -214,7 +213,7 @@
         if any_answer and now < self._next_store_try_s:
             # The watchers can't reach the store, and this node has called it within
             # ``STORE_RETRY_S``.
-            self._state.backends.mark_store_unreachable()
+            self._mark_store_unreachable()
             await self._exchange.wait_for_hint(POLL_INTERVAL_S)
             return
         self._next_store_try_s = now + STORE_RETRY_S
@@ -227,6 +226,26 @@
         await self.call_store(wait_ms=0)
         self._watch_until_s = self._state.clock.monotonic() + DIRECT_WATCH_S
 
+    async def ask_in_gaps(self) -> None:
+        """Ask peers in gaps of this node's own contact, until cancelled."""
+        while True:
+            await self._in_gap.wait()
+            self._in_gap.clear()
+            while self._peers_may_know_more:
+                await self._ask_peers()
+                await self._state.clock.sleep(self._ask_interval_s)
+
+    @property
+    def _peers_may_know_more(self) -> bool:
+        backends = self._state.backends
+        now = self._state.clock.monotonic()
+        return backends.store_unreachable or backends.needs_peer_contact(now)
+
+    @property
+    def _ask_interval_s(self) -> float:
+        small = len(self._state.peers.others) < SMALL_FLEET_NODES
+        return ASK_INTERVAL_S if small else POLL_INTERVAL_S
+
     async def _ask_peers(self) -> None:
         """
         Take from a peer what this node's own calls did not tell.
@@ -235,18 +254,15 @@
         although the store has turned away this node alone.
         """
         for peer in itertools.islice(self._peers_to_ask(), MAX_ASKED_PEERS):
-            if self._exchange.revision is None:
+            if self._lists_next:
+                # This node has no revision that a peer could go on from.
                 return
             sent_s = self._state.clock.boottime()
             answer = await self._exchange.query(peer, self._exchange.revision)
-            if (
-                answer is None
-                or answer.era != self._exchange.era
-                or not 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000
-            ):
+            if answer is None or self._lists_next or answer.era != self._exchange.era:
                 continue
             self._record_peer_contact(peer, answer)
-            if self._apply_changes(answer, peer.node_id):
+            if self._apply_changes(answer, peer.node_id) and answer.age_ms >= 0:
                 self._state.record_confirmation(sent_s - answer.age_ms / 1_000)
             self._state.expire()
             if not self._state.backends.needs_peer_contact(
@@ -269,14 +285,15 @@
 
     def _record_peer_contact(self, peer: Peer, answer: StoreAnswer) -> None:
         now = self._state.clock.monotonic()
-        if answer.unbroken_ms >= 0 and self._state.backends.record_peer_contact(
-            answer.unbroken_ms / 1_000, answer.age_ms / 1_000, now
+        contact = answer.contact
+        if contact is not None and self._state.backends.record_peer_contact(
+            contact, now
         ):
             log(
                 LogEvent.STORE_OUTAGE_RULED_OUT,
                 peer=peer.node_id,
-                unbroken_s=round(answer.unbroken_ms / 1_000, 3),
-                age_s=answer.age_ms / 1_000,
+                unbroken_s=round(contact.unbroken_s, 3),
+                age_s=round(contact.age_s, 3),
             )
 
     def _apply_changes(self, answer: StoreAnswer, sender: str) -> bool:
@@ -364,9 +381,13 @@
         changes = await self._watch(after, wait_ms)
         if changes.era != self._exchange.era:
             raise _EraEnded
-        for change in changes.events:
-            self._apply_change(change, changes.revision, "watch")
-        self._record_changes(after, changes)
+        # Otherwise a peer has sent these changes meanwhile, and maybe later ones.
+        if self._exchange.revision == after or (
+            changes.revision > self._exchange.revision
+        ):
+            for change in changes.events:
+                self._apply_change(change, changes.revision, "watch")
+            self._record_changes(after, changes)
         waited_s = self._state.clock.boottime() - sent_s
         self._delay_next_call = bool(changes.events)
         if changes.events or waited_s < wait_ms / 1_000:
@@ -428,6 +449,8 @@
         for node_id in self._state.peers.expired(self._state.clock.monotonic()):
             self._remove_peer(node_id)
         self._state.backends.mark_store_reachable(self._state.clock.monotonic())
+        if self._peers_may_know_more:
+            self._in_gap.set()
         if not self._reachable:
             log(
                 LogEvent.PLATFORM_REACHABLE,
@@ -439,7 +462,7 @@
 
     def _record_failure(self, error: PlatformUnavailable) -> None:
         self._failures += 1
-        self._state.backends.mark_store_unreachable()
+        self._mark_store_unreachable()
         if self._reachable is not False:
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
@@ -449,6 +472,10 @@
             )
         self._reachable = False
 
+    def _mark_store_unreachable(self) -> None:
+        self._state.backends.mark_store_unreachable()
+        self._in_gap.set()
+
     def _rounded_confirmed_age_s(self) -> float | None:
         age_s = self._state.confirmed_age_s
         return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/tanagerkeel/relay_entry/_watcher_exchange.py
+++ b/src/tanagerkeel/relay_entry/_watcher_exchange.py
@@ -15,6 +15,7 @@
 from tanagerkeel.relay import (
     SMALL_FLEET_NODES,
     ChangeLog,
+    ContactReport,
     EncodedChange,
     LargeValueCache,
 )
@@ -53,8 +54,10 @@
     :param changes: the changes.
     :param era: the era of the store to which the revision belongs.
     :param unbroken_ms: for how long the store has not been away, as the watcher knows,
-        in milliseconds; -1 if it doesn't know. Builds up to commit 168f730 ignore this
-        field and don't send it.
+        in milliseconds; -1 if it doesn't know.
+    :param contact_age_ms: time since the store last answered the watcher, in
+        milliseconds. Builds up to commit 168f730 ignore this field and the one before,
+        and don't send them.
     """
 
     number: int
@@ -64,6 +67,14 @@
     changes: tuple[EncodedChange, ...] = ()
     era: int = 0
     unbroken_ms: int = -1
+    contact_age_ms: int = -1
+
+    @property
+    def contact(self) -> ContactReport | None:
+        """What the watcher knows of the store's presence; None if nothing."""
+        if self.unbroken_ms < 0 or self.contact_age_ms < 0:
+            return None
+        return ContactReport(self.unbroken_ms / 1_000, self.contact_age_ms / 1_000)
 
 
 @attrs.frozen
@@ -197,7 +208,7 @@
             changes = self.change_log.since(query.revision)
         age_s = self._state.confirmed_age_s
         now = self._state.clock.monotonic()
-        unbroken_s = self._state.backends.store_unbroken_s(now)
+        contact = self._state.backends.contact_report(now)
         answer = StoreAnswer(
             number=query.number,
             revision=self.revision,
@@ -205,7 +216,9 @@
             complete=changes is not None,
             changes=changes or (),
             era=self.era,
-            unbroken_ms=-1 if unbroken_s is None else int(1_000 * unbroken_s),
+            # Both are rounded so that the report claims less.
+            unbroken_ms=int(1_000 * contact.unbroken_s) if contact else -1,
+            contact_age_ms=int(1_000 * contact.age_s) + 1 if contact else -1,
         )
         self._peer_updates.send_to(peer, ANSWER_KIND, answer)
 
--- a/tests/platform/test_removed_entries.py
+++ b/tests/platform/test_removed_entries.py
@@ -124,9 +124,23 @@
     ) as relay:
         if node_count > 1:
             await hear_peers(relay)
+        # A node can tell a peer of the time since its own start only.
+        relay.store.write("op/other", {})
+        await relay.until(lambda: _know_the_same_time(relay))
         yield relay, calls[0], arrivals
 
 
+def _know_the_same_time(relay: Relay) -> bool:
+    """Return whether each node has had contact since all others began to have it."""
+    now = time.monotonic()
+    tables = [node.state.backends for node in relay.nodes]
+    reports = list(filter(None, (table.contact_report(now) for table in tables)))
+    if len(reports) < len(tables):
+        return False
+    # Answers give times in milliseconds.
+    return max(r.age_s for r in reports) + 0.01 < min(r.unbroken_s for r in reports)
+
+
 async def send_for(relay: Relay, seconds: float) -> list[int]:
     """Send requests to the first node for a time; return the statuses."""
     end_s = time.monotonic() + seconds
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -416,7 +416,7 @@
 
 async def test_a_node_whose_calls_fail_reads_answers_of_builds_of_both_kinds():
     # Builds up to commit 168f730 don't say for how long they had contact.
-    for unbroken, dropped in ((), False), ((9_000,), True):
+    for contact, dropped in ((), False), ((9_000, 500), True):
         clock, (state, _, poller), _ = _pair()
         clock.advance(100.0)
         server = BackendServer("i-0", 1, "models", "a:1", "zone-a", 8)
@@ -427,7 +427,7 @@
         poller.era = 0
         task = StoreTask(_Store(), _RemovingDecoder(), state, random.Random(1), poller)
         task._record_failure(PlatformUnavailable("status 429"))
-        fields = (1, 13, 500, True, (("i-0", None, 13, 0),), 0, *unbroken)
+        fields = (1, 13, 500, True, (("i-0", None, 13, 0),), 0, *contact)
         answer = codec.unpack_compact(msgspec.msgpack.encode(fields), StoreAnswer)
         with unittest.mock.patch.object(
             WatcherExchange, "query", unittest.mock.AsyncMock(return_value=answer)
--- a/tests/test_store_contact.py
+++ b/tests/test_store_contact.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tanagerkeel.relay import ContactReport
 from tanagerkeel.relay._store_contact import (
     MAX_PAUSE_S,
     MAX_PEER_AGE_S,
@@ -45,40 +46,40 @@
 def test_a_peer_with_contact_all_the_while_rules_out_an_outage():
     contact = contact_since(0.0, 10.0)
     now = fail_and_recover(contact, 10.0, 3.0)
-    assert contact.record_peer(unbroken_s=8.0, age_s=1.0, now=now)
+    assert contact.record_peer(ContactReport(8.0, 1.0), now)
     assert not contact.may_have_been_away(now)
     # It knows again that the store was there all the while, and can say so.
-    assert contact.unbroken_s(now) == now
+    assert contact.report(now) == ContactReport(now, 0.0)
 
 
 def test_a_peer_whose_contact_began_in_the_gap_rules_out_nothing():
     contact = contact_since(0.0, 10.0)
     now = fail_and_recover(contact, 10.0, 3.0)
-    assert not contact.record_peer(unbroken_s=2.9, age_s=0.0, now=now)
+    assert not contact.record_peer(ContactReport(2.9, 0.0), now)
     assert contact.may_have_been_away(now)
-    assert contact.unbroken_s(now) == 0.0
+    assert contact.report(now) == ContactReport(0.0, 0.0)
 
 
 def test_a_peer_that_the_store_has_not_confirmed_lately_rules_out_nothing():
     # Its own watch may be silent, and it may not have noticed.
     contact = contact_since(0.0, 10.0)
     now = fail_and_recover(contact, 10.0, 3.0)
-    assert not contact.record_peer(9.0, age_s=MAX_PEER_AGE_S + 0.1, now=now)
+    assert not contact.record_peer(ContactReport(9.0, MAX_PEER_AGE_S + 0.1), now)
     assert contact.may_have_been_away(now)
 
 
 def test_what_a_peer_says_during_a_gap_holds_until_the_next_call():
     contact = contact_since(0.0, 10.0)
     contact.record_failure(entries_known=True)
-    assert contact.record_peer(9.0, 0.5, 11.0)
+    assert contact.record_peer(ContactReport(9.0, 0.5), 11.0)
     assert not contact.may_have_been_away(11.0)
-    assert contact.unbroken_s(11.0) is None
+    assert contact.report(11.0) is None
     contact.record_failure(entries_known=True)
     assert contact.may_have_been_away(11.5)
     contact.record_success(12.0)
     # The gap has begun at 10 and not at the peer's word.
-    assert not contact.record_peer(1.5, 0.0, 12.0)
-    assert contact.record_peer(2.0, 0.0, 12.0)
+    assert not contact.record_peer(ContactReport(1.5, 0.0), 12.0)
+    assert contact.record_peer(ContactReport(2.0, 0.0), 12.0)
 
 
 def test_failures_in_series_extend_no_gap_that_is_over():
@@ -86,7 +87,7 @@
     now = 10.0
     for _ in range(5):
         now = fail_and_recover(contact, now, 0.2)
-        assert contact.record_peer(now, 0.0, now)
+        assert contact.record_peer(ContactReport(now, 0.0), now)
         assert not contact.may_have_been_away(now)
         now += 1.8
         contact.record_success(now)
@@ -103,54 +104,71 @@
     contact = contact_since(0.0, 10.0)
     contact.begin_era(10.0)
     assert not contact.needs_peer(10.0)
-    assert not contact.record_peer(10.0, 0.0, 10.0)
+    assert not contact.record_peer(ContactReport(10.0, 0.0), 10.0)
     assert contact.may_have_been_away(10.0 + REREGISTRATION_S - 0.01)
     assert not contact.may_have_been_away(10.0 + REREGISTRATION_S)
-    assert contact.unbroken_s(11.0) == 1.0
+    assert contact.report(11.0).unbroken_s == 1.0
 
 
 def test_a_node_that_was_suspended_vouches_for_nothing_before():
     contact = contact_since(0.0, 10.0)
     contact.record_success(10.0 + MAX_PAUSE_S + 0.1)
-    assert contact.unbroken_s(16.0) == 16.0 - (10.0 + MAX_PAUSE_S + 0.1)
+    assert contact.report(16.0).unbroken_s == 16.0 - (10.0 + MAX_PAUSE_S + 0.1)
 
 
-@settings(derandomize=True, deadline=None, max_examples=300)
+def test_failures_that_follow_each_other_are_one_gap():
+    contact = contact_since(0.0, 10.0)
+    for _ in range(3):
+        contact.record_failure(entries_known=True)
+    contact.record_success(15.0)
+    assert contact.report(15.0) == ContactReport(0.0, 0.0)
+    assert not contact.record_peer(ContactReport(4.9, 0.0), 15.0)
+    contact.record_success(18.0)
+    # The gap was never explained, so that nothing is known of the time before its end.
+    contact.record_failure(entries_known=True)
+    contact.record_success(18.5)
+    assert contact.record_peer(ContactReport(1.0, 0.0), 18.5)
+    assert contact.report(18.5).unbroken_s == 3.5
+
+
+failing_times = st.lists(st.floats(5.0, 40.0), max_size=6)
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
 @given(
     outage=st.tuples(st.floats(10.0, 30.0), st.floats(MAX_PEER_AGE_S, 9.0)),
-    failing=st.lists(st.floats(5.0, 40.0), max_size=6),
+    failing=st.tuples(failing_times, failing_times),
+    call_s=st.sampled_from([0.5, CALL_S]),
     offset_s=st.floats(0.0, CALL_S),
 )
 def test_two_nodes_never_rule_out_an_outage_that_both_have_seen(
-    outage, failing, offset_s
+    outage, failing, call_s, offset_s
 ):
-    """Both call the store at intervals; the first also fails alone at times."""
+    """Both call the store at intervals, and fail alone at times."""
     begin_s, end_s = outage[0], outage[0] + outage[1]
-    node, peer = StoreContact(), StoreContact()
-    events = sorted(
-        [(0.5 * n, "node") for n in range(100)]
-        + [(offset_s + CALL_S * n, "peer") for n in range(22)]
-        + [(at_s, "fails") for at_s in failing]
+    nodes = (StoreContact(), StoreContact())
+    calls = sorted(
+        [(call_s * n, 0, True) for n in range(int(50 / call_s))]
+        + [(offset_s + CALL_S * n, 1, True) for n in range(22)]
+        + [(at_s, number, False) for number in (0, 1) for at_s in failing[number]]
     )
-    peer_success_s = float("-inf")
-    for now, event in events:
-        away = begin_s <= now < end_s
-        match event:
-            case "peer" if away:
-                peer.record_failure(entries_known=True)
-            case "peer":
-                peer.record_success(now)
-                peer_success_s = now
-            case "node" if not away:
-                node.record_success(now)
-            case _:
-                node.record_failure(entries_known=True)
-        unbroken_s = peer.unbroken_s(now)
-        if unbroken_s is not None:
-            node.record_peer(unbroken_s, now - peer_success_s, now)
-        # Missing entries are kept from the node's first call after the outage on.
-        if event == "node" and end_s <= now < end_s + 0.5:
-            assert node.may_have_been_away(now)
+    returned = set()
+    for now, number, succeeds in calls:
+        if succeeds and not begin_s <= now < end_s:
+            nodes[number].record_success(now)
+            if now >= end_s and number not in returned:
+                returned.add(number)
+                nodes_report = nodes[1 - number].report(now)
+                if nodes_report is not None:
+                    nodes[number].record_peer(nodes_report, now)
+                # Missing entries are kept from the first call after the outage on.
+                assert nodes[number].may_have_been_away(now)
+        else:
+            nodes[number].record_failure(entries_known=True)
+        for one, other in (nodes, nodes[::-1]):
+            report = other.report(now)
+            if report is not None:
+                one.record_peer(report, now)
 
 
 def load_tests(loader, tests, pattern):
