Check in the soak that engines get no request long after the store says that they leave

The soak watched announcements that a node had passed on, and not what the store had accepted. Engines now end their entries, with draining or without, and go on serving for 4 s; calls of single nodes to the store fail in series that come closer than the allowance for missing entries, or get no response. A request counts if its node is stable and any node has had a stable way to the store since before the acceptance.

A run of its own does this all the time. In that run callers' keys have the users' bound of 5 s, as with the soak's 3 s a node refuses all before the check begins to count.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -44,6 +44,7 @@
 )
 from tests.platform.soak_cuts import FirstTries
 from tests.platform.soak_eras import Owners
+from tests.platform.soak_leaving import STABLE_S, LeavingChecker
 from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
 from tests.platform.soak_sections import (
@@ -64,6 +65,8 @@
 EVENT_INTERVAL_S = 0.02
 # Latest use of a key after it was removed from the configuration.
 REVOKE_BOUND_S = 3.0
+# The same in the users' deployments.
+USERS_REVOKE_BOUND_S = 5.0
 # A process that ends by itself is started again after this time, as on the platform.
 RESTART_DELAY_S = 0.5
 # A SIGHUP ends a process that has not executed its first statement yet, which nothing
@@ -81,6 +84,18 @@
 HOLD_OFF_VALUE = "2"
 HOLD_OFF_REACTION_S = 0.5
 MAX_HELD_OFF_REQUESTS = 2
+# How long an engine goes on serving after its entry says that it leaves, in seconds.
+REMOVED_S = 4.0
+# Length and distance of failures in a series of calls to the store, in seconds, and how
+# many a series has. They come closer than a node keeps entries that may come back.
+FAILING_S = 0.15
+FAILING_GAP_S = 1.4
+FAILING_COUNT = 4
+# When the second watch after a change has just begun on all nodes, in seconds.
+SECOND_WATCH_S = 3.0
+# How long a node's calls to the store get no response, in seconds: as long as an open
+# watch lasts then.
+SILENT_S = 4.0
 # How long an engine announces that it leaves before it is replaced, in seconds: longer
 # than the bound, so that requests after it are seen.
 ANNOUNCED_S = 4.0
@@ -164,6 +179,7 @@
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
     :param first_tries: compares nodes that are cut off from all engines with others.
+    :param leaving: checks the requests to engines whose entry says that they leave.
     :param limits: counts the requests to engines that name a limit.
     :param sections: counts the requests with a section that crashes engines.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
@@ -172,11 +188,11 @@
         reported as not run), ``MIXED`` (a success that is not the request's own
         response), ``ORDER`` (missing, repeated or reordered events, or a broken-off
         response that is complete), ``DRAIN`` (a node sent a request to an engine after
-        it had passed on that the engine leaves), ``BUDGET`` (a node sent more than two
-        requests to an engine that it should have held off, or requests with a section
-        after it had crashed too many engines), ``LIMIT`` (the nodes sent an engine more
-        than the limit that it had named) or ``RECOVER`` (a node did not recover after
-        the last fault).
+        it had passed on that the engine leaves, or after the store had accepted it),
+        ``BUDGET`` (a node sent more than two requests to an engine that it should have
+        held off, or requests with a section after it had crashed too many engines),
+        ``LIMIT`` (the nodes sent an engine more than the limit that it had named) or
+        ``RECOVER`` (a node did not recover after the last fault).
     :param outcomes: how many requests ended with each status, with a broken response
         (``cut``) or without a response (``none``).
     """
@@ -192,6 +208,7 @@
     disturbed_s: dict[str, float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
     first_tries: FirstTries = attrs.field(factory=FirstTries)
+    leaving: LeavingChecker = attrs.field(factory=LeavingChecker)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
     sections: SectionChecker = attrs.field(factory=SectionChecker)
     violations: list[str] = attrs.field(factory=list)
@@ -214,8 +231,15 @@
             self.violations.append(f"CONFIG {request_id} ran with a revoked key")
 
     def check_drain(self, request_id: str, engine_id: str) -> None:
-        """Check that no node sends to an engine after it announced that it leaves."""
+        """Check that no node sends to an engine after it said that it leaves."""
         node = self.node_by_request.get(request_id, "")
+        nodes = sorted(set(self.node_by_request.values()))
+        if self.leaving.is_late(node, nodes, engine_id):
+            after_s = time.monotonic() - self.leaving.accepted_s[engine_id]
+            self.violations.append(
+                f"DRAIN {request_id} reached {engine_id} by {node} {after_s:.2f} s "
+                "after the store had accepted that it leaves"
+            )
         if engine_id in self.drained:
             self.violations.append(f"DRAIN {request_id} sent to {engine_id} by {node}")
         announced_s = self.announced_s.get((node, engine_id), float("inf"))
@@ -541,8 +565,11 @@
     :param fault_rates: the share in force for each kind of fault.
     :param links: the proxies between each node and the store or an engine.
     :param engine_links: those to the engines, by the node's name.
+    :param store_links: those to the store, by the node's name.
     :param eras_first: likewise, whether the store returns from older copies all the
         time, while versions of the configuration and backend servers change.
+    :param removes_first: likewise, whether engines leave in turn while calls to the
+        store fail at one node after the other.
     :param cuts_first: likewise, whether nodes are cut off from all engines in turn.
     :param version: version of the next configuration.
     :param newest_version: version of the newest configuration. Each has a route of its
@@ -566,12 +593,14 @@
     crashes_first: bool = False
     limits_first: bool = False
     eras_first: bool = False
+    removes_first: bool = False
     cuts_first: bool = False
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
     links: list[Link] = attrs.field(factory=list)
     engine_links: dict[str, list[Link]] = attrs.field(factory=dict)
+    store_links: dict[str, Link] = attrs.field(factory=dict)
     version: int = 2
     newest_version: int = 2
     owners: Owners = attrs.field(init=False)
@@ -648,7 +677,7 @@
                 "news_listen": addresses[3],
                 "forward_listen": addresses[4],
                 "platform": await self._serve_store(f"node-{number}"),
-                "bounds": {"revoke_ms": int(REVOKE_BOUND_S * 1_000), "grace_s": 3.0},
+                "bounds": {"revoke_ms": self._revoke_ms, "grace_s": 3.0},
                 "drain_delay_s": 0.3,
             }
             path = self.folder / f"node-{self.seed}-{number}.json"
@@ -664,6 +693,15 @@
             await node.start()
             self.nodes.append(node)
         await self._wait_until_ready(RECOVERY_BOUND_S)
+        for node in self.nodes:
+            self.checker.leaving.record_disruption("process", node.name)
+
+    @property
+    def _revoke_ms(self) -> int:
+        # With the short bound, a node whose watch is silent would refuse all requests
+        # before the bound on engines that leave begins to hold.
+        bound_s = USERS_REVOKE_BOUND_S if self.removes_first else REVOKE_BOUND_S
+        return int(1_000 * bound_s)
 
     async def _serve_store(self, node: str) -> str:
         """Start a node's links to the engines and the store; return the store's."""
@@ -679,6 +717,7 @@
         self._store_servers.append(server)
         store_link = Link(server.address)
         await store_link.start()
+        self.store_links[node] = store_link
         self.links += [store_link, *links]
         return store_link.address
 
@@ -706,6 +745,18 @@
             asyncio.create_task(self._client(n, stop)) for n in range(CLIENT_COUNT)
         ]
         end = time.monotonic() + self.seconds
+        await self._run_chosen_faults(end)
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
+            fault = self._start_fault(self._inject_fault())
+            # Faults overlap: most are still in force when the next one starts.
+            if self.rng.random() < 0.3:
+                await fault
+        stop.set()
+        await asyncio.gather(*clients, *self._fault_tasks)
+
+    async def _run_chosen_faults(self, end: float) -> None:
+        """Run the faults that the options of this run ask for, up to its end."""
         if self.announces_first:
             self._start_fault(self._announce_leaving(0))
         if self.holds_off_first:
@@ -721,18 +772,12 @@
             await asyncio.sleep(self.seconds)
         if self.cuts_first:
             await self._cut_off_in_turn(end)
+        if self.removes_first:
+            await self._remove_in_turn(end)
         if self.eras_first:
             await self._change_across_eras(end)
         if self.crashes_first:
             await self._send_crashing_requests(self.seconds)
-        while time.monotonic() < end:
-            await asyncio.sleep(self.rng.uniform(0.05, 0.5))
-            fault = self._start_fault(self._inject_fault())
-            # Faults overlap: most are still in force when the next one starts.
-            if self.rng.random() < 0.3:
-                await fault
-        stop.set()
-        await asyncio.gather(*clients, *self._fault_tasks)
 
     def _start_fault(self, body: Coroutine[None, None, None]) -> asyncio.Task:
         fault = asyncio.create_task(body)
@@ -753,13 +798,16 @@
         node = self.rng.choice(self.nodes)
         match self.rng.choice(("freeze", "kill", "stop", "reload")):
             case "freeze":
-                node.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(duration_s)
-                node.send_signal(signal.SIGCONT)
+                with self.checker.leaving.disruption("process", node.name):
+                    node.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(duration_s)
+                    node.send_signal(signal.SIGCONT)
             case "kill":
-                await node.restart(signal.SIGKILL)
+                with self.checker.leaving.disruption("process", node.name):
+                    await node.restart(signal.SIGKILL)
             case "stop":
-                await node.restart(signal.SIGTERM)
+                with self.checker.leaving.disruption("process", node.name):
+                    await node.restart(signal.SIGTERM)
             case "reload":
                 node.send_signal(signal.SIGHUP)
                 return
@@ -778,20 +826,19 @@
                 "hold_off",
                 "crash",
                 "limit",
+                "failing",
             )
         ):
             case "link":
                 link = self.rng.choice(self.links)
-                await link.inject(self.rng.choice(Link.MODES), duration_s)
-            case "down" | "silent" as fault:
-                setattr(self.store, fault, True)
-                await asyncio.sleep(duration_s)
-                setattr(self.store, fault, False)
-            case "lapse":
-                self.store.expire_all_leases()
-                self.store.history_lost = True
-            case "era":
-                await self.owners.return_from_copy()
+                with self._link_disruption(link):
+                    await link.inject(self.rng.choice(Link.MODES), duration_s)
+            case "failing":
+                node = self.rng.choice(self.nodes)
+                await self._fail_calls(node.name, self.rng.random() < 0.5)
+            case "down" | "silent" | "lapse" | "era" as fault:
+                with self.checker.leaving.disruption("store"):
+                    await self._inject_store_fault(fault, duration_s)
             case "isolate":
                 node = self.rng.choice(self.nodes)
                 await self._cut_off(node.name, self.rng.choice(Link.CUT_MODES), 2.0)
@@ -809,8 +856,22 @@
                 await asyncio.sleep(duration_s)
                 self.fault_rates[name] = self.base_fault_rate
 
+    async def _inject_store_fault(self, fault: str, duration_s: float) -> None:
+        match fault:
+            case "down" | "silent":
+                setattr(self.store, fault, True)
+                await asyncio.sleep(duration_s)
+                setattr(self.store, fault, False)
+            case "lapse":
+                self.store.expire_all_leases()
+                self.store.history_lost = True
+            case "era":
+                await self.owners.return_from_copy()
+
     async def _change_store(self, duration_s: float) -> None:
-        match self.rng.choice(("configuration", "revoke", "leave", "announce")):
+        match self.rng.choice(
+            ("configuration", "revoke", "leave", "announce", "remove")
+        ):
             case "configuration":
                 self._configure()
             case "revoke" if KEYS[1] not in self.checker.revoked_s:
@@ -821,6 +882,9 @@
                 await self._leave(self.rng.randrange(ENGINE_COUNT), duration_s)
             case "announce":
                 await self._announce_leaving(self.rng.randrange(ENGINE_COUNT))
+            case "remove":
+                drains = self.rng.random() < 0.5
+                await self._remove(self.rng.randrange(ENGINE_COUNT), drains)
 
     async def _leave(self, number: int, duration_s: float) -> None:
         """Delete an engine's entry, and write that of a new incarnation later."""
@@ -865,7 +929,62 @@
     async def _cut_off(self, node: str, mode: str, duration_s: float) -> None:
         """Cut a node off from all engines, but from nothing else."""
         links = self.engine_links[node]
-        await asyncio.gather(*(link.cut(mode, duration_s) for link in links))
+        with self.checker.leaving.disruption("engines", node):
+            await asyncio.gather(*(link.cut(mode, duration_s) for link in links))
+
+    def _link_disruption(self, link: Link) -> contextlib.AbstractContextManager[None]:
+        for node, store_link in self.store_links.items():
+            if link is store_link:
+                return self.checker.leaving.disruption("calls", node)
+            if link in self.engine_links[node]:
+                return self.checker.leaving.disruption("engines", node)
+        raise ValueError("the link belongs to no node")
+
+    async def _fail_calls(self, node: str, silent: bool) -> None:
+        """
+        Let a node's calls to the store fail for a while.
+
+        :param silent: whether they get no response; otherwise they fail in series.
+        """
+        link = self.store_links[node]
+        with self.checker.leaving.disruption("calls", node):
+            if silent:
+                await link.inject("silence", SILENT_S)
+                return
+            for _ in range(FAILING_COUNT):
+                await link.inject("reset", FAILING_S)
+                await asyncio.sleep(FAILING_GAP_S)
+
+    async def _remove_in_turn(self, end_s: float) -> None:
+        """Let engines leave while calls to the store fail at one node at a time."""
+        await asyncio.sleep(STABLE_S)
+        number = 0
+        while time.monotonic() < end_s:
+            node = self.nodes[number % NODE_COUNT].name
+            silent = number % 2 == 0
+            # All watches begin at about the same time, so that a silent one lasts long.
+            self.owners.write_servers_again(1)
+            await asyncio.sleep(SECOND_WATCH_S)
+            failing = self._start_fault(self._fail_calls(node, silent))
+            await asyncio.sleep(FAILING_S / 2)
+            await self._remove(number % ENGINE_COUNT, drains=number // 2 % 2 == 1)
+            await failing
+            number += 1
+
+    async def _remove(self, number: int, drains: bool) -> None:
+        """Let an engine's entry drain or end, and replace the engine later."""
+        if number in self._busy_engines:
+            return
+        self._busy_engines.add(number)
+        engine_id = self.engines[number].engine_id
+        if drains:
+            self._drain(number)
+        else:
+            self.owners.delete(f"servers/{engine_id}")
+        self.checker.leaving.record_accepted(engine_id)
+        await asyncio.sleep(REMOVED_S)
+        self._replace(number)
+        self._busy_engines.discard(number)
 
     async def _cut_off_in_turn(self, end_s: float) -> None:
         """Cut off one node or two in each way, and check what callers get there."""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -152,6 +152,25 @@
         )
 
 
+def test_engines_that_leave_get_no_request_while_calls_of_one_node_fail():
+    checker = _run(seconds=18.0, removes_first=True)
+    assert checker.leaving.checked and not checker.violations, checker.violations
+
+
+def test_requests_to_an_engine_whose_entry_says_that_it_leaves_are_detected():
+    for mutant in ("asks_no_peer.py", "ignores_hints.py"):
+        checker = _run(
+            seconds=8.0,
+            program=str(MUTANTS / mutant),
+            fault_rate=0.0,
+            removes_first=True,
+        )
+        assert any(line.startswith("DRAIN") for line in checker.violations), (
+            mutant,
+            checker.violations[:3],
+        )
+
+
 def test_nodes_that_are_cut_off_from_all_engines_serve_first_tries():
     checker = _run(seconds=16.0, cuts_first=True)
     assert not checker.violations, checker.violations
