Count a refused connection as a crash only once other engines can be reached

Cause: the first refused connection to a failure domain counted as a crash at once, as no other loss was known there yet. A cut of all engines refuses one in each domain, so that a request that ran on two of them was quarantined as the cause of two crashes.

Why it works: before a crash is recorded, another engine has to answer, of the same failure domain if there is one. That takes one connection for each crash. A request that crashes engines is found as before; the tests of both quarantines pass.

--- a/src/tanagerkeel/relay_entry/_outcome_recorder.py
+++ b/src/tanagerkeel/relay_entry/_outcome_recorder.py
@@ -6,7 +6,12 @@
 
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.exchange import ConnectError, ConnectionPool
-from tanagerkeel.relay import BackendServer, RelayPlacement, SendFailure
+from tanagerkeel.relay import (
+    BackendRecord,
+    BackendServer,
+    RelayPlacement,
+    SendFailure,
+)
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._outcomes import (
     AttemptOutcome,
@@ -26,9 +31,9 @@
 __all__ = ["OutcomeRecorder"]
 
 # Connections across a network partition are refused just as those to a crashed process
-# are. When other backend servers of the failure domain were lost too, a refused
-# connection counts as a crash only if the domain proves reachable within this time, in
-# seconds; ``ReachabilityTask`` has probed more of its backend servers by then.
+# are. A refused connection counts as a crash only if another backend server, and the
+# failure domain, prove reachable within this time, in seconds; ``ReachabilityTask`` has
+# probed more of the domain's backend servers by then.
 CRASH_CONFIRMATION_S = 0.4
 # How long a request that was not answered waits to learn whether its backend server has
 # crashed, in seconds; a refused connection takes milliseconds.
@@ -170,21 +175,37 @@
         return False
 
     def _record_connection_refused(self, server: BackendServer) -> None:
-        now = self._state.clock.monotonic()
-        self._state.backends.record_gone(server, now)
-        if not self._state.backends.domain_losses(server.failure_domain, now):
-            self._state.record_crash(server)
-            return
+        self._state.backends.record_gone(server, self._state.clock.monotonic())
         task = asyncio.create_task(self._confirm_crash(server))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _confirm_crash(self, server: BackendServer) -> None:
-        until_s = self._state.clock.monotonic() + CRASH_CONFIRMATION_S
-        # ``ReachabilityTask`` starts its probes in the next turn of the event loop.
-        await asyncio.sleep(0)
+        """Record a crash once this node is found to reach other backend servers."""
+        refused_s = self._state.clock.monotonic()
+        until_s = refused_s + CRASH_CONFIRMATION_S
+        others = [r for r in self._state.backends if not r.server == server]
+        if others:
+            await self._probe_one(others, server.failure_domain)
         while (now := self._state.clock.monotonic()) < until_s:
-            if not self._state.backends.domain_suspected(server.failure_domain, now):
+            reached = not others or any(r.last_data_s >= refused_s for r in others)
+            domain_suspected = self._state.backends.domain_suspected(
+                server.failure_domain, now
+            )
+            if reached and not domain_suspected:
                 self._state.record_crash(server)
                 return
             await self._state.wait_for_change(until_s - now)
+
+    async def _probe_one(self, records: list[BackendRecord], domain: str) -> None:
+        """Connect to one backend server, of a failure domain if possible."""
+        server = max(
+            records, key=lambda r: (r.server.failure_domain == domain, r.last_data_s)
+        ).server
+        try:
+            connection = await self._pool.acquire(server.address, 0.0)
+        except ConnectError:
+            self._state.record_failure(server, SendFailure.UNREACHABLE, "")
+            return
+        self._pool.release(connection)
+        self._state.record_connection(server)
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -27,6 +27,7 @@
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._state import RelayState
+from tests.fixtures import abort_with_reset
 from tests.platform.fixtures import (
     ANY_PORT,
     CHUNKED_HEADERS,
@@ -168,6 +169,36 @@
         assert (server.incarnation in found) == (server.incarnation != ("i-0", 5))
 
 
+async def test_a_cut_that_refuses_connections_quarantines_no_request():
+    # The first refused connection of each failure domain counted as a crash, so that a
+    # request which many callers send was quarantined as the cause of two.
+    async def slow_response(engine, request, writer):
+        await asyncio.sleep(0.5)
+        await write_response(writer, request)
+
+    async with running_relay(*[slow_response] * 4) as relay:
+        for engine in relay.engines[2:]:
+            entry = engine.store_entry("booking", zone="zone-b")
+            relay.store.write(f"servers/{engine.engine_id}", entry)
+        table = relay.node.state.backends
+        await relay.until(lambda: table.get("i-3").server.failure_domain == "zone-b")
+        calls = [
+            asyncio.create_task(relay.call("/lookup/x", request_id=f"r{n}"))
+            for n in range(8)
+        ]
+        await relay.until(lambda: all(engine.received for engine in relay.engines))
+        cut = Cut(relay, mode="refuse")
+        with in_force(cut):
+            for engine in relay.engines:
+                for writer in list(engine._writers):
+                    abort_with_reset(writer)
+            await asyncio.gather(*calls)
+            await asyncio.sleep(0.5)
+        await relay.until(lambda: not relay.node.state.unreachable_services())
+        reply = await relay.call("/lookup/x", request_id="later")
+        assert reply.status == 200, reply
+
+
 async def test_first_tries_at_a_node_without_engines_are_served():
     for mode in ("hang", "refuse"):
         async with cut_relay(*[respond_with_id] * 6, mode=mode) as (relay, _):
