Attribute a request in the soak to the node that sends it to the engine

Trace, from its logs: node-2 was cut off from the engines and forwarded requests to node-1. The engine asked node-1 to hold it off at -1.798 s (322 on node-1), for a request that node-2 had forwarded; node-1 refused it. Once its cut had ended, node-2 sent three requests itself, at -0.342, -0.308 and 0. The rule binds the node that the engine has answered, and the engine had answered node-1. The check counted hold-offs by the node that the client had chosen.

The links of the soak now tell by which node a connection to an engine is. Hold-offs are checked for that node, forwarded requests included: a peer that sends during a hold-off that it was asked for is found now, and was not before. Announcements and entries are checked for that node besides the one that the client chose.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -169,7 +169,9 @@
     :param revoked_s: monotonic time at which each revoked key was removed, in seconds;
         infinite while the store is being changed.
     :param sent_s: monotonic time at which each request was sent, in seconds.
-    :param node_by_request: the node that each request was sent to.
+    :param node_by_request: the node that each request was sent to by its client. A
+        peer may have sent it to the engine.
+    :param senders: the node of each connection to an engine, by its port.
     :param announced_s: monotonic time at which a client first received an engine's
         announcement that it leaves, in seconds, by node and engine.
     :param drained: ids of engines that may get no request, as their entries say so.
@@ -202,6 +204,7 @@
     revoked_s: dict[str, float] = attrs.field(factory=dict)
     sent_s: dict[str, float] = attrs.field(factory=dict)
     node_by_request: dict[str, str] = attrs.field(factory=dict)
+    senders: dict[int, str] = attrs.field(factory=dict)
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     drained: set[str] = attrs.field(factory=set)
     rewritten_s: dict[str, float] = attrs.field(factory=dict)
@@ -230,9 +233,13 @@
         ):
             self.violations.append(f"CONFIG {request_id} ran with a revoked key")
 
-    def check_drain(self, request_id: str, engine_id: str) -> None:
+    def sender(self, writer: asyncio.StreamWriter) -> str:
+        """Return the node whose request an engine has received."""
+        _, port = writer.get_extra_info("peername")
+        return self.senders[port]
+
+    def check_drain(self, request_id: str, node: str, engine_id: str) -> None:
         """Check that no node sends to an engine after it said that it leaves."""
-        node = self.node_by_request.get(request_id, "")
         nodes = sorted(set(self.node_by_request.values()))
         if self.leaving.is_late(node, nodes, engine_id):
             after_s = time.monotonic() - self.leaving.accepted_s[engine_id]
@@ -242,18 +249,21 @@
             )
         if engine_id in self.drained:
             self.violations.append(f"DRAIN {request_id} sent to {engine_id} by {node}")
-        announced_s = self.announced_s.get((node, engine_id), float("inf"))
-        if self.sent_s.get(request_id, 0.0) > announced_s + DRAIN_BOUND_S:
-            self.violations.append(f"DRAIN {request_id} sent to {engine_id} by {node}")
+        # Also the node that the client chose, if a peer sends the request for it.
+        for name in {node, self.node_by_request.get(request_id, "")}:
+            announced_s = self.announced_s.get((name, engine_id), float("inf"))
+            if self.sent_s.get(request_id, 0.0) > announced_s + DRAIN_BOUND_S:
+                self.violations.append(
+                    f"DRAIN {request_id} sent to {engine_id} by {name}"
+                )
 
     def record_announcement(self, request_id: str, engine_id: str) -> None:
         """Record that a client received an engine's announcement through its node."""
         key = (self.node_by_request[request_id], engine_id)
         self.announced_s.setdefault(key, time.monotonic())
 
-    def check_hold_off(self, request_id: str, engine_id: str) -> None:
-        """Check that few requests reach an engine during a hold-off."""
-        node = self.node_by_request.get(request_id, "")
+    def check_hold_off(self, request_id: str, node: str, engine_id: str) -> None:
+        """Check that few requests of a node reach an engine during a hold-off."""
         hold_off = self.hold_offs.get((node, engine_id))
         now = time.monotonic()
         if hold_off is None or not hold_off.begin_s <= now < hold_off.end_s:
@@ -262,11 +272,11 @@
         if hold_off.requests > MAX_HELD_OFF_REQUESTS:
             self.violations.append(f"BUDGET {request_id} sent to {engine_id} by {node}")
 
-    def record_hold_off(self, request_id: str, engine_id: str) -> None:
-        """Record that an engine asked a request's node to hold it off."""
+    def record_hold_off(self, node: str, engine_id: str) -> None:
+        """Record that an engine asked a node to hold it off."""
         now = time.monotonic()
         end_s = now + float(HOLD_OFF_VALUE)
-        key = (self.node_by_request[request_id], engine_id)
+        key = (node, engine_id)
         known = self.hold_offs.get(key)
         if known is not None and now < known.end_s:
             known.end_s = end_s
@@ -375,11 +385,12 @@
     """
 
     async def script(engine: Engine, request: fixtures.ReceivedRequest, writer) -> None:
-        checker.check_drain(request.request_id, engine.engine_id)
-        checker.check_hold_off(request.request_id, engine.engine_id)
+        node = checker.sender(writer)
+        checker.check_drain(request.request_id, node, engine.engine_id)
+        checker.check_hold_off(request.request_id, node, engine.engine_id)
         checker.check_limit(request.request_id, engine)
         if engine.retry_after is not None:
-            checker.record_hold_off(request.request_id, engine.engine_id)
+            checker.record_hold_off(node, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
             return
         if CRASHING_SECTION in shared_sections(request):
@@ -705,7 +716,8 @@
 
     async def _serve_store(self, node: str) -> str:
         """Start a node's links to the engines and the store; return the store's."""
-        links = [Link(engine.address) for engine in self.engines]
+        senders = self.checker.senders
+        links = [Link(engine.address, node, senders) for engine in self.engines]
         for link in links:
             await link.start()
         self.engine_links[node] = links
--- a/tests/platform/soak_links.py
+++ b/tests/platform/soak_links.py
@@ -37,6 +37,8 @@
     to its clients.
 
     :param target: ``IP:PORT`` that connections are forwarded to.
+    :param node: the node whose connections it forwards.
+    :param senders: gets the node of each connection to the target, by its local port.
     :param mode: the fault in force; empty for none.
     """
 
@@ -46,6 +48,8 @@
     CUT_MODES: ClassVar[tuple[str, ...]] = ("hang", "reset", "live_on")
 
     target: str
+    node: str = ""
+    senders: dict[int, str] = attrs.field(factory=dict)
     mode: str = ""
     _address: str = ""
     _server: asyncio.Server | None = None
@@ -123,6 +127,8 @@
         except OSError:
             abort_with_reset(writer)
             return
+        _, port = target_writer.get_extra_info("sockname")
+        self.senders[port] = self.node
         self._writers |= {writer, target_writer}
         task = asyncio.current_task()
         self._tasks.add(task)
