--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -28,6 +28,7 @@
 import attrs
 
 from tanagerkeel.gateways.http_server import HttpServer
+from tanagerkeel.relay import watchers
 from tests.platform import fixtures
 from tests.platform.fixtures import (
     LEAVING_ENGINE_HEADER,
@@ -356,6 +357,11 @@
             self.limits.record_told(self.node_by_request[request_id], engine_id)
 
 
+def failure_domain(number: int) -> str:
+    """Return the failure domain of a node."""
+    return f"zone-{'ab'[number % 2]}"
+
+
 def event_bytes(request_id: str, number: int) -> bytes:
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
@@ -562,6 +568,7 @@
     :param program: the program that a node's process runs.
     :param checker: records the run and checks it.
     :param store: the store that all nodes use.
+    :param node_count: number of nodes. More than 16 poll watchers of the store.
     :param base_fault_rate: share of engines' responses that have each kind of fault
         while no such fault is injected.
     :param only_faulty_responses: whether nothing but the responses of engines disturbs
@@ -597,6 +604,7 @@
     program: str = PROGRAM
     checker: InvariantChecker = attrs.field(factory=InvariantChecker)
     store: MemoryStore = attrs.field(factory=MemoryStore)
+    node_count: int = NODE_COUNT
     base_fault_rate: float = 0.0
     only_faulty_responses: bool = False
     announces_first: bool = False
@@ -674,14 +682,14 @@
         self._configure()
         host = loopback_address(self.port_rng)
         taken_ports: set[int] = set()
-        for number in range(NODE_COUNT):
+        for number in range(self.node_count):
             addresses = [
                 f"{host}:{free_port(self.port_rng, host, taken_ports)}"
                 for _ in range(5)
             ]
             settings = {
                 "node_id": f"node-{number}",
-                "failure_domain": f"zone-{'ab'[number % 2]}",
+                "failure_domain": failure_domain(number),
                 "callers_listen": addresses[0],
                 "readiness_listen": addresses[1],
                 "metrics_listen": addresses[2],
@@ -968,11 +976,15 @@
                 await asyncio.sleep(FAILING_GAP_S)
 
     async def _remove_in_turn(self, end_s: float) -> None:
-        """Let engines leave while calls to the store fail at one node at a time."""
+        """Let engines leave while the calls of one watching node at a time fail."""
         await asyncio.sleep(STABLE_S)
         number = 0
+        domains = {node.name: failure_domain(n) for n, node in enumerate(self.nodes)}
+        watching = sorted(
+            {name for domain in domains.values() for name in watchers(domains, domain)}
+        )
         while time.monotonic() < end_s:
-            node = self.nodes[number % NODE_COUNT].name
+            node = watching[number % len(watching)]
             silent = number % 2 == 0
             # All watches begin at about the same time, so that a silent one lasts long.
             self.owners.write_servers_again(1)
@@ -1228,6 +1240,10 @@
     parser.add_argument(
         "--program", default=PROGRAM, help="program that a node's process runs"
     )
+    parser.add_argument("--nodes", type=int, default=NODE_COUNT, help="number of nodes")
+    parser.add_argument(
+        "--removes", action="store_true", help="let engines leave all the time"
+    )
     parser.add_argument(
         "--keep",
         type=pathlib.Path,
@@ -1240,7 +1256,16 @@
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             folder = pathlib.Path(name)
-            run = asyncio.run(soak(seed, options.seconds, folder, options.program))
+            run = asyncio.run(
+                soak(
+                    seed,
+                    options.seconds,
+                    folder,
+                    options.program,
+                    node_count=options.nodes,
+                    removes_first=options.removes,
+                )
+            )
             if run.checker.violations:
                 failed += 1
                 keep_run(folder, options.keep / f"seed-{seed}", run.checker.violations)
