--- a/tests/platform/test_removed_entries.py
+++ b/tests/platform/test_removed_entries.py
@@ -21,6 +21,7 @@
     MemoryStore,
     ReceivedRequest,
     Relay,
+    configuration,
     respond_with_id,
     running_relay,
     stream_script,
@@ -196,6 +197,18 @@
             assert latest_s < DRAIN_BOUND_S, (state, latest_s)
 
 
+async def test_a_node_that_the_store_turns_away_learns_of_versions_and_domains():
+    async with relay_with_calls() as (relay, calls, _):
+        calls.turn_away()
+        accounts = [{"name": "acme", "apiKeys": ["another key"], "priority": 1}]
+        relay.store.write("op/config", configuration(9, tenants=accounts))
+        relay.store.write("op/evacuate/zone-a", {})
+        state = relay.node.state
+        await relay.until(lambda: state.configuration.version == 9)
+        await relay.until(lambda: state.backends.domains_out == {"zone-a"})
+        assert (await relay.call("/lookup/x")).status == 401
+
+
 async def test_a_silent_watch_does_not_keep_a_leaving_engine_in_use():
     # The node noticed after 3.7 s, and then used an engine without an entry for two
     # more seconds.
