Let a test of endless bytes wait longer than its bound on the time

Cause, shown by runs: the request's deadline of 2 s passed while the node still read the 4 MB of short header lines, with tracemalloc on. A 504 there is true, but no sign that the bytes were bounded.

The deadline is 4 s now, above the test's bound of 3 s on the whole, so that the status can only come from that bound on the bytes.

--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -27,7 +27,9 @@
     EVENT_STREAM_HEADERS,
     Engine,
     ReceivedRequest,
+    configuration,
     response_head,
+    route,
     running_relay,
 )
 from tests.support import collect
@@ -42,6 +44,14 @@
 MAX_STORE_BYTES = 2 * 32 * 1_048_576 + MAX_SENT_BYTES
 # An unlimited reader would take far more in this time, in seconds.
 MAX_SECONDS = 3.0
+# Longer than ``MAX_SECONDS``, so that it is not the deadline that ends a request.
+DEADLINE_MS = 4_000
+LONG_DEADLINES = configuration(
+    routes=[
+        route("reserve", "unsafe", "booking", maxAttempts=1, timeoutMs=DEADLINE_MS),
+        route("chat", "stream", "models", targetGapMs=250, timeoutMs=DEADLINE_MS),
+    ]
+)
 CHAT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 1000,430")
 
 
@@ -154,13 +164,19 @@
 async def _check(blocks, target: str, headers: tuple[str, ...]) -> None:
     source = EndlessSource(blocks)
     async with running_relay(
-        source.script, service="models" if headers else "booking"
+        source.script,
+        service="models" if headers else "booking",
+        document=LONG_DEADLINES,
     ) as relay:
         tracemalloc.start()
         try:
             begin = time.monotonic()
             reply = await relay.call(
-                target, method="POST", body=b"p", headers=headers, deadline_ms=2_000
+                target,
+                method="POST",
+                body=b"p",
+                headers=headers,
+                deadline_ms=DEADLINE_MS,
             )
             took_s = time.monotonic() - begin
             _, peak_bytes = tracemalloc.get_traced_memory()
