Probe another engine than the one whose connection was refused

Cause, found while reading: the engines that may confirm a crash were compared by their whole entry, so that a server whose entry had changed since the placement was probed itself, and its crash was confirmed only when data came from another one. Compared by id now.

No test: with one engine more, data from the others confirms the crash as before; the tests of cuts, crashes and quarantines pass.

--- a/src/tanagerkeel/relay_entry/_outcome_recorder.py
+++ b/src/tanagerkeel/relay_entry/_outcome_recorder.py
@@ -184,7 +184,11 @@
         """Record a crash once this node is found to reach other backend servers."""
         refused_s = self._state.clock.monotonic()
         until_s = refused_s + CRASH_CONFIRMATION_S
-        others = [r for r in self._state.backends if not r.server == server]
+        others = [
+            record
+            for record in self._state.backends
+            if record.server.backend_id != server.backend_id
+        ]
         if others:
             await self._probe_one(others, server.failure_domain)
         while (now := self._state.clock.monotonic()) < until_s:
