Name the reason again when an entry is missing in a listing

A listing drops entries by the table's own method again, and only logs those that are kept. No decision changes.

--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -12,6 +12,7 @@
 from tanagerkeel.relay import (
     PEER_TIMEOUT_S,
     AssignmentTable,
+    BackendRecord,
     BackendServer,
     BackendTable,
     CallerLimits,
@@ -365,9 +366,14 @@
         :param backend_ids: all backend servers in the listing.
         :param domains_out: all failure domains that are out of service in the listing.
         """
-        for record in tuple(self.backends):
-            if record.server.backend_id not in backend_ids:
-                self._remove_backend(record.server.backend_id, "listing")
+        now = self.clock.monotonic()
+        for name in self.backends.keep_only(backend_ids, now):
+            self._on_backend_removed(
+                name, "its entry is missing in the listing", source="listing"
+            )
+        for record in self.backends:
+            if record.missing_since_s == now:
+                self._log_missing(record, "listing")
         missing = self.backends.domains_out - domains_out
         if self._copy_listed:
             # The copy may be older than the operator's write; see expire().
@@ -741,16 +747,19 @@
         if self.backends.remove(backend_id, now):
             self._on_backend_removed(backend_id, "its entry was deleted", source=source)
         elif record is not None and not was_missing:
-            recovered_s = now - self.backends.store_recovered_s
-            log(
-                LogEvent.BACKEND_ENTRY_MISSING,
-                backend=backend_id,
-                service=record.server.service,
-                revision=record.revision,
-                store_unreachable=self.backends.store_unreachable,
-                recovered_s=round(recovered_s, 3) if recovered_s < math.inf else None,
-                source=source,
-            )
+            self._log_missing(record, source)
+
+    def _log_missing(self, record: BackendRecord, source: str) -> None:
+        recovered_s = self.clock.monotonic() - self.backends.store_recovered_s
+        log(
+            LogEvent.BACKEND_ENTRY_MISSING,
+            backend=record.server.backend_id,
+            service=record.server.service,
+            revision=record.revision,
+            store_unreachable=self.backends.store_unreachable,
+            recovered_s=round(recovered_s, 3) if recovered_s < math.inf else None,
+            source=source,
+        )
 
     def _on_backend_removed(
         self, backend_id: str, reason: str, **fields: object
