Begin the simulation of leaving once each node has had contact since all others began

Cause, forced: the nodes had not had contact since all others began when the engine left, as the fixed start of 2.6 s is too short on a busy machine. A peer tells nothing of the time before its own start. Bound and check are as before.

--- a/tests/platform/test_news_of_leaving.py
+++ b/tests/platform/test_news_of_leaving.py
@@ -23,7 +23,11 @@
 from tanagerkeel.relay_entry._store_task import StoreTask
 from tanagerkeel.relay_entry._watcher_exchange import WatcherExchange
 from tests.platform.fixtures import ANY_PORT, MemoryStore
-from tests.platform.test_removed_entries import DRAIN_BOUND_S, NodeCalls
+from tests.platform.test_removed_entries import (
+    DRAIN_BOUND_S,
+    NodeCalls,
+    had_contact_since_all_began,
+)
 from tests.support import collect
 
 # When a machine counts as in touch again after a disruption, in seconds, in fleets that
@@ -116,7 +120,7 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(size: int) -> AsyncIterator[Fleet]:
-    """Run nodes until they have had contact for a while."""
+    """Run nodes, and yield once each has had contact since all others began to."""
     store = MemoryStore()
     store.write("servers/i-0", ENTRY)
     network: dict[str, Datagrams] = {}
@@ -134,8 +138,10 @@
         for body in (node.task.run, node.task.ask_in_gaps)
     ]
     try:
-        # Longer than a watch, so that each node has had contact since all began.
-        await asyncio.sleep(2.6)
+        tables = [node.state.backends for node in nodes.values()]
+        async with asyncio.timeout(10.0):
+            while not had_contact_since_all_began(tables):
+                await asyncio.sleep(0.05)
         yield Fleet(store, nodes)
     finally:
         for task in running:
--- a/tests/platform/test_removed_entries.py
+++ b/tests/platform/test_removed_entries.py
@@ -9,11 +9,12 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import attrs
 
 from tanagerkeel.gateways.platform import PlatformUnavailable
+from tanagerkeel.relay import BackendTable
 from tests.platform.fixtures import (
     LONG_CALL,
     LONG_PROMPTS,
@@ -125,16 +126,19 @@
     ) as relay:
         if node_count > 1:
             await hear_peers(relay)
-        # A node can tell a peer of the time since its own start only.
         relay.store.write("op/other", {})
-        await relay.until(lambda: _know_the_same_time(relay))
+        tables = [node.state.backends for node in relay.nodes]
+        await relay.until(lambda: had_contact_since_all_began(tables))
         yield relay, calls[0], arrivals
 
 
-def _know_the_same_time(relay: Relay) -> bool:
-    """Return whether each node has had contact since all others began to have it."""
+def had_contact_since_all_began(tables: Sequence[BackendTable]) -> bool:
+    """
+    Return whether each node has had contact with the store since all others began to.
+
+    Before that, a node has no peer that can tell it of its own last gap.
+    """
     now = time.monotonic()
-    tables = [node.state.backends for node in relay.nodes]
     reports = list(filter(None, (table.contact_report(now) for table in tables)))
     if len(reports) < len(tables):
         return False
