Check entries that end also for the node that the client chose

That held for announcements only: the check of the store's acceptance had gone over to the sending node alone, a narrowing without a trace. Both are checked now.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -242,16 +242,16 @@
     def check_drain(self, request_id: str, node: str, engine_id: str) -> None:
         """Check that no node sends to an engine after it said that it leaves."""
         nodes = sorted(set(self.node_by_request.values()))
-        if self.leaving.is_late(node, nodes, engine_id):
-            after_s = time.monotonic() - self.leaving.accepted_s[engine_id]
-            self.violations.append(
-                f"DRAIN {request_id} reached {engine_id} by {node} {after_s:.2f} s "
-                "after the store had accepted that it leaves"
-            )
         if engine_id in self.drained:
             self.violations.append(f"DRAIN {request_id} sent to {engine_id} by {node}")
         # Also the node that the client chose, if a peer sends the request for it.
         for name in {node, self.node_by_request.get(request_id, "")}:
+            if self.leaving.is_late(name, nodes, engine_id):
+                after_s = time.monotonic() - self.leaving.accepted_s[engine_id]
+                self.violations.append(
+                    f"DRAIN {request_id} reached {engine_id} by {name} {after_s:.2f} s "
+                    "after the store had accepted that it leaves"
+                )
             announced_s = self.announced_s.get((name, engine_id), float("inf"))
             if self.sent_s.get(request_id, 0.0) > announced_s + DRAIN_BOUND_S:
                 self.violations.append(
