--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -11,6 +11,7 @@
 import uvicorn
 from eliot.stdlib import EliotHandler
 
+from tanagerkeel.early_listener import BACKLOG, bind_tcp
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.gateways.http_protocol import (
     ABORT_EXTENSION,
@@ -20,8 +21,6 @@
 
 __all__ = ["ABORT_EXTENSION", "HeaderPolicy", "HttpServer"]
 
-# Limit of connections that wait to be accepted.
-BACKLOG = 1_024
 # Turns of the event loop in which waiting connections are accepted and set up.
 ACCEPT_TURNS = 3
 SERVER_LOGGER = logging.getLogger("uvicorn")
@@ -74,6 +73,7 @@
     :param host: IP address to listen on.
     :param port: port to listen on; 0 lets the system choose.
     :param headers: limits on headers, and the responses to requests beyond them.
+    :param listening: a socket that listens on the address already, if any.
     """
 
     _application: Any
@@ -84,6 +84,7 @@
     _server: _Server | None = None
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
     _placeholder: socket.socket | None = None
+    _listening: socket.socket | None = attrs.field(default=None, kw_only=True)
 
     @property
     def address(self) -> str:
@@ -97,8 +98,10 @@
         :raises TanagerkeelError: ADDRESS_IN_USE if the address can't be bound.
         """
         _log_through_eliot()
-        listening = _bind(self._host, self._port)
-        listening.listen(BACKLOG)
+        listening, self._listening = self._listening, None
+        if listening is None:
+            listening = _bind(self._host, self._port)
+            listening.listen(BACKLOG)
         self._port = listening.getsockname()[1]
         config = uvicorn.Config(
             self._application,
@@ -175,17 +178,9 @@
 
 
 def _bind(host: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio turns Nagle's algorithm off only for sockets with an explicit IPPROTO_TCP.
-    # With it, a chunk would wait until the client acknowledges the one before.
-    listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        listening.bind((host, port))
+        return bind_tcp(host, port)
     except OSError as error:
-        listening.close()
         raise TanagerkeelError(
             ResultCode.ADDRESS_IN_USE, f"{host}:{port}: {error.strerror}"
         ) from error
-    listening.setblocking(False)
-    return listening
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import socket
 from collections.abc import Callable, Coroutine
 
 import attrs
@@ -69,6 +70,7 @@
     :param backends: encodes requests to backend servers and decodes their responses.
     :param clock: source of time.
     :param random: source of the jitter of the background tasks.
+    :param callers_socket: the socket that callers connect to, if it listens already.
     """
 
     settings: RelaySettings
@@ -78,6 +80,7 @@
     _backends: BackendCodec
     _clock: Clock = attrs.field(factory=SystemClock)
     _random: random.Random = attrs.field(factory=random.Random)
+    _callers_socket: socket.socket | None = attrs.field(default=None, kw_only=True)
     state: RelayState = attrs.field(init=False)
     _metrics: RelayMetrics = attrs.field(init=False, factory=RelayMetrics)
     _pool: ConnectionPool = attrs.field(init=False)
@@ -153,7 +156,9 @@
         """
         ingress = RelayIngress(self._callers, self._runner, self.state, self._clock)
         callers = self._create_server(
-            self.settings.callers_listen, CancelOnDisconnect(ingress)
+            self.settings.callers_listen,
+            CancelOnDisconnect(ingress),
+            self._callers_socket,
         )
         readiness = self._create_server(
             self.settings.readiness_listen, readiness_app(self.state, READINESS_PATH)
@@ -285,9 +290,14 @@
                 reason=f"could not delete the node's entry: {error!r}",
             )
 
-    def _create_server(self, address: str, application: object) -> HttpServer:
+    def _create_server(
+        self,
+        address: str,
+        application: object,
+        listening: socket.socket | None = None,
+    ) -> HttpServer:
         host, port = split_address(address)
-        return HttpServer(application, host, port, HeaderPolicy())
+        return HttpServer(application, host, port, HeaderPolicy(), listening=listening)
 
     def _start_task(self, name: str, body: TaskBody) -> None:
         self._tasks.append(asyncio.create_task(self._run_forever(name, body)))
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -72,6 +72,9 @@
     :param drain_delay_s: how long a stopping node still accepts callers after it
         reports that it isn't ready, in seconds; the load balancer checks each second
         and removes a node after two failed checks.
+    :param cpu_share: share of the time of its cores that the VM gives the node.
+    :param cpu_cores: the VM's cores. Where share and cores are small, callers connect
+        to the node while its program is still being loaded.
     """
 
     node_id: str = attrs.field(validator=attrs.validators.min_len(1))
@@ -85,6 +88,8 @@
     bounds: RelayBounds = RelayBounds()
     log_lines_per_s: int = _positive_field(200)
     drain_delay_s: float = attrs.field(default=2.6, validator=attrs.validators.ge(0))
+    cpu_share: float = _positive_field(1.0)
+    cpu_cores: float = _positive_field(1.0)
 
 
 def load_relay_settings(path: pathlib.Path) -> RelaySettings:
