--- a/src/tanagerkeel/queueing/_caller_cost.py
+++ b/src/tanagerkeel/queueing/_caller_cost.py
@@ -69,24 +69,28 @@
 
     :param tokens_per_weight: where a route states no weight, a request weighs 1 plus
         its prompt tokens divided by this number.
+    :param rank_factor: factor by which the weight decreases with each rank, where a
+        route states none.
     :param late_share: share of its weight that a late request loses, where its route
         states none.
     :param routes: what is stated, by the name of the route.
     """
 
     tokens_per_weight: float = _positive(10_000.0)
+    rank_factor: float = attrs.field(default=2.0, validator=attrs.validators.ge(1))
     late_share: float = _share(0.75)
     routes: dict[str, RouteCost] = attrs.field(factory=dict)
 
-    def cost(self, route: str, prompt_tokens: int) -> CallerCost:
+    def cost(self, route: str, prompt_tokens: float, rank: int = 0) -> CallerCost:
         """
         Return what a request costs its caller.
 
         :param route: name of its route.
         :param prompt_tokens: length of its prompt; 0 for a plain service.
+        :param rank: its rank; 0 is the most urgent.
         """
         stated = self.routes.get(route)
         if stated is not None:
             return CallerCost(stated.weight, stated.late_share)
         weight = 1.0 + prompt_tokens / self.tokens_per_weight
-        return CallerCost(weight, self.late_share)
+        return CallerCost(weight / self.rank_factor**rank, self.late_share)
--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -10,14 +10,10 @@
 )
 from tanagerkeel.relay._cold_limit import ColdStartLimiter
 from tanagerkeel.relay._configuration import (
-    CallerAccount,
     CallerLimits,
     EngineProfile,
     RelayConfiguration,
-    Route,
-    RouteKind,
     ServiceSpec,
-    WeightedService,
 )
 from tanagerkeel.relay._deferral import should_defer
 from tanagerkeel.relay._estimate import Candidate, Demand, Estimate, estimate
@@ -40,12 +36,19 @@
     RelayPlacement,
     choose_placement,
 )
+from tanagerkeel.relay._ranks import Rank
 from tanagerkeel.relay._rate_limit import (
     RateLimitTable,
     SendReport,
     parse_rate_limit,
 )
 from tanagerkeel.relay._retry_budget import SharedRetryBudget
+from tanagerkeel.relay._routes import (
+    CallerAccount,
+    Route,
+    RouteKind,
+    WeightedService,
+)
 from tanagerkeel.relay._section_quarantine import (
     SectionQuarantine,
     SectionReport,
@@ -100,6 +103,7 @@
     "PeerCandidate",
     "RelayPlacement",
     "Prefill",
+    "Rank",
     "RateLimitTable",
     "RelayConfiguration",
     "ReplyHead",
--- a/src/tanagerkeel/relay/_assignments.py
+++ b/src/tanagerkeel/relay/_assignments.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-__all__ = ["PEER_TIMEOUT_S", "Assignment", "AssignmentTable"]
+from tanagerkeel.queueing import CallerCost, CostRules
+
+__all__ = ["PEER_TIMEOUT_S", "Assignment", "AssignmentTable", "default_cost"]
 
 # The last update of a peer that doesn't say how long it is valid is ignored after this
 # time, in seconds. Peers repeat their state several times within it, so that one lost
@@ -16,6 +18,13 @@
 # Minimum share of a prompt that counts as left to prefill until its first event
 # arrives, even when that event is overdue.
 MIN_LEFT_SHARE = 0.1
+# What requests cost of which nothing but their length is known, such as peers'.
+DEFAULT_RULES = CostRules()
+
+
+def default_cost(prompt_tokens: int) -> CallerCost:
+    """Return what a request costs its caller, by the length of its prompt alone."""
+    return DEFAULT_RULES.cost("", prompt_tokens)
 
 
 @attrs.define(eq=False)
@@ -40,6 +49,7 @@
     :param full_prompt_tokens: length of the full prompt, of which other engines may
         prefill parts.
     :param due_s: latest time of the first event that meets the latency objective.
+    :param cost: what the caller loses when it is late or not served.
     """
 
     backend_id: str
@@ -57,6 +67,11 @@
         return self.prompt_tokens
 
     due_s: float = float("inf")
+    cost: CallerCost = attrs.field()
+
+    @cost.default
+    def _cost_by_length(self) -> CallerCost:
+        return default_cost(self.full_prompt_tokens)
 
     @property
     def split(self) -> bool:
--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -13,7 +13,8 @@
 
 import attrs
 
-from tanagerkeel.relay._assignments import Assignment
+from tanagerkeel.queueing import CallerCost
+from tanagerkeel.relay._assignments import Assignment, default_cost
 from tanagerkeel.relay._backends import BackendServer
 from tanagerkeel.relay._configuration import EngineProfile
 from tanagerkeel.relay._pass_model import (
@@ -34,11 +35,6 @@
     "prefills_of",
 ]
 
-# The weight of a request is 1 plus its prompt tokens divided by this number, which
-# follows the weights that deployments give to their kinds of requests.
-TOKENS_PER_WEIGHT = 10_000.0
-# Share of its weight that a late answer loses; the deployments set 0.7 to 0.75.
-LATE_LOSS = 0.75
 # Ratios of an estimate to its objective: the risk of a miss is 0 up to the first ratio,
 # 1 from the second one on, and linear between them. Estimates are off by 10 to 20 %.
 RISK_FROM_RATIO = 0.75
@@ -80,6 +76,7 @@
         event or the answer.
     :param average_call_ms: average duration of a call of the plain service; unused for
         engines.
+    :param cost: what the caller loses when it is late or not served.
     """
 
     prompt_tokens: int
@@ -88,11 +85,16 @@
     gap_objective_ms: float
     caller_timeout_ms: float = float("inf")
     average_call_ms: float = 0.0
+    cost: CallerCost = attrs.field()
+
+    @cost.default
+    def _cost_by_length(self) -> CallerCost:
+        return default_cost(self.prompt_tokens)
 
     @property
     def weight(self) -> float:
         """Weight of the request relative to others."""
-        return _weight(self.prompt_tokens)
+        return self.cost.weight
 
 
 @attrs.frozen
@@ -146,10 +148,6 @@
         return self.own_loss + self.others_loss
 
 
-def _weight(prompt_tokens: float) -> float:
-    return 1.0 + prompt_tokens / TOKENS_PER_WEIGHT
-
-
 def _miss_risk(value: float, objective: float) -> float:
     if objective <= 0:
         return 1.0
@@ -160,8 +158,9 @@
 
 
 def _own_loss(first_ms: float, demand: Demand) -> float:
-    late = LATE_LOSS * _miss_risk(first_ms, demand.objective_ms)
-    abandoned = (1.0 - LATE_LOSS) * _miss_risk(first_ms, demand.caller_timeout_ms)
+    late_share = demand.cost.late_share
+    late = late_share * _miss_risk(first_ms, demand.objective_ms)
+    abandoned = (1.0 - late_share) * _miss_risk(first_ms, demand.caller_timeout_ms)
     return (late + abandoned) * demand.weight
 
 
@@ -247,8 +246,8 @@
     )
     others_loss = sum(
         OTHERS_LOSS_FACTOR
-        * _weight(a.full_prompt_tokens)
-        * LATE_LOSS
+        * a.cost.weight
+        * a.cost.late_share
         * max(
             0.0,
             _miss_risk(pause_ms, a.gap_objective_ms)
@@ -287,8 +286,8 @@
     """Return the expected loss of the unsplit prompts that a part goes ahead of."""
     waiting = (a for a in assignments if not (a.first_event_seen or a.split))
     return sum(
-        _weight(a.full_prompt_tokens)
-        * LATE_LOSS
+        a.cost.weight
+        * a.cost.late_share
         * (
             _miss_risk(
                 1_000 * max(0.0, a.first_s - now) + delay_ms, 1_000 * (a.due_s - now)
--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -3,7 +3,13 @@
 import attrs
 
 from tanagerkeel.errors import ResultCode
-from tanagerkeel.relay import CallerAccount, CallerRequest, Route, ServiceSpec
+from tanagerkeel.relay import (
+    CallerAccount,
+    CallerRequest,
+    Rank,
+    Route,
+    ServiceSpec,
+)
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["OTHER_NODE_RETRY_S", "CAPACITY_RETRY_S", "Admitted", "Refusal", "admit"]
@@ -41,19 +47,14 @@
     :param service: the service that runs it.
     :param account: its client account; None when no key is needed.
     :param version: version of the configuration that it was checked against.
+    :param rank: its rank; None where its service has one rank only.
     """
 
     route: Route
     service: ServiceSpec
     account: CallerAccount | None
     version: int
-
-    @property
-    def priority(self) -> int:
-        """Priority of the client account, or else of the route; 0 is the highest."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+    rank: Rank | None = None
 
 
 def admit(request: CallerRequest, state: RelayState) -> Admitted | Refusal:
@@ -88,4 +89,5 @@
             f"route {route.name} names an unknown service",
             CONFIGURATION_RETRY_S,
         )
-    return Admitted(route, service, account, version)
+    rank = configuration.rank_of(service.name, route, account)
+    return Admitted(route, service, account, version, rank)
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -127,6 +127,7 @@
             account=run.admitted.account.name if run.admitted.account else None,
             deadline_ms=left_ms,
             resume_after=run.last_event_id or run.request.resume_after,
+            priority=run.admitted.rank.position if run.admitted.rank else None,
             helpers=self._helpers,
         )
         # Checked last: reservations and the connection may have taken long.
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from tanagerkeel.errors import ResultCode
+from tanagerkeel.queueing import CallerCost, CostRules
 from tanagerkeel.relay import CallerRequest, Demand, RouteKind, StreamEvent
 from tanagerkeel.relay_entry._admit import Admitted
 from tanagerkeel.relay_entry._outcomes import ErrorReply
@@ -41,6 +42,7 @@
     :param reply: where the response to the caller is written.
     :param admitted: route, service and client account.
     :param deadline_s: when the response must be complete.
+    :param cost_rules: what the settings say of the costs of delays.
     :param forwarded: whether a peer has forwarded it to this node, which then doesn't
         forward it again.
     :param tried: ids of backend servers that it isn't sent to again.
@@ -64,6 +66,7 @@
     reply: CallerReply
     admitted: Admitted
     deadline_s: float
+    cost_rules: CostRules = CostRules()
     forwarded: bool = False
     tried: set[str] = attrs.field(factory=set)
     _avoided_until_s: dict[str, float] = attrs.field(factory=dict)
@@ -88,6 +91,17 @@
             digest.update(b"\0")
         return digest.hexdigest()
 
+    @property
+    def cost(self) -> CallerCost:
+        """What the caller loses when the request is late or not served."""
+        model_demand = self.request.demand
+        prompt_tokens = 0
+        if model_demand is not None and self.admitted.service.engine is not None:
+            prompt_tokens = model_demand.prompt_tokens
+        rank = self.admitted.rank
+        route = self.admitted.route.name
+        return self.cost_rules.cost(route, prompt_tokens, rank.steps if rank else 0)
+
     def record_events(self, events: Sequence[StreamEvent], now: float) -> None:
         """Record that events are forwarded to the caller."""
         for event in events:
@@ -181,6 +195,7 @@
             gap_objective_ms=float(self.admitted.route.gap_objective_ms),
             caller_timeout_ms=max(0.0, 1_000 * (self.next_event_deadline_s - now)),
             average_call_ms=average_call_ms,
+            cost=self.cost,
         )
 
     def _objective_left_ms(self, now: float) -> float:
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -161,7 +161,8 @@
         if request.deadline_ms is not None:
             timeout_ms = min(timeout_ms, request.deadline_ms)
         deadline_s = request.arrived_s + timeout_ms / 1_000
-        run = RelayRun(request, body, reply, admitted, deadline_s)
+        costs = self._state.settings.queueing.costs
+        run = RelayRun(request, body, reply, admitted, deadline_s, costs)
         now = self._state.clock.monotonic()
         quarantined_s = self._state.quarantine.remaining_s(run.fingerprint, now)
         if quarantined_s > 0:
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -309,6 +309,7 @@
                 end_s=end_s,
                 full_prompt_tokens=demand.prompt_tokens,
                 due_s=now + demand.objective_ms / 1_000,
+                cost=demand.cost,
             )
             for index, participant in enumerate(participants)
         )
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -7,8 +7,9 @@
 from tanagerkeel import codec
 from tanagerkeel.addresses import split_address
 from tanagerkeel.errors import ResultCode, TanagerkeelError
+from tanagerkeel.queueing import CostRules
 
-__all__ = ["RelayBounds", "RelaySettings", "load_relay_settings"]
+__all__ = ["QueueingRules", "RelayBounds", "RelaySettings", "load_relay_settings"]
 
 
 def _validate_address(instance: object, attribute: attrs.Attribute, value: str) -> None:
@@ -53,6 +54,20 @@
     longest_hold_off_s: float = _positive_field(60.0)
 
 
+@attrs.frozen
+class QueueingRules:
+    """
+    How requests that wait are ordered and turned away.
+
+    :param costs: what a delay or a refusal costs callers.
+    :param every_service: whether the requests of all services are ordered, and not only
+        those of engines whose routes have different ranks.
+    """
+
+    costs: CostRules = CostRules()
+    every_service: bool = False
+
+
 @attrs.frozen
 class RelaySettings:
     """
@@ -72,6 +87,7 @@
     :param drain_delay_s: how long a stopping node still accepts callers after it
         reports that it isn't ready, in seconds; the load balancer checks each second
         and removes a node after two failed checks.
+    :param queueing: how requests that wait are ordered and turned away.
     :param cpu_share: share of the time of its cores that the VM gives the node.
     :param cpu_cores: the VM's cores. Where share and cores are small, callers connect
         to the node while its program is still being loaded.
@@ -88,6 +104,7 @@
     bounds: RelayBounds = RelayBounds()
     log_lines_per_s: int = _positive_field(200)
     drain_delay_s: float = attrs.field(default=2.6, validator=attrs.validators.ge(0))
+    queueing: QueueingRules = QueueingRules()
     cpu_share: float = _positive_field(1.0)
     cpu_cores: float = _positive_field(1.0)
 
--- a/tests/platform/test_early_listener.py
+++ b/tests/platform/test_early_listener.py
@@ -72,8 +72,8 @@
             async with asyncio.timeout(20):
                 while not await _accepts(addresses[0]):
                     await asyncio.sleep(0.002)
-                # The readiness server starts when the program is loaded, and within some
-                # milliseconds of the callers' one if that doesn't listen early.
+                # The readiness server starts when the program is loaded, within some
+                # milliseconds of the callers' one if that one doesn't listen early.
                 await asyncio.sleep(0.1)
                 assert not await _accepts(addresses[1])
                 while not await _accepts(addresses[1]):
