--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -5,7 +5,9 @@
 and failures, and for engines from the pass model.
 
 Load pattern: a long prompt that is prefilled on an engine lengthens the pauses of every
-answer that is decoded there.
+answer that is decoded there. In a fleet of many senders, nodes also learn of each
+other's sends later than a burst fills an engine, so that each assignment makes the
+next one there riskier.
 """
 
 import math
@@ -45,6 +47,12 @@
 # Share of its weight that a request may lose on an engine's last slot: another node may
 # be assigning that slot at the same moment.
 LAST_SLOT_LOSS = 0.1
+# The same where many nodes send: it grows with the cube of the share of slots taken, so
+# that few assignments cost nearly nothing and short requests still share engines.
+CROWD_LOSS = 0.2
+# Share of its weight that a late request loses further until its caller stops waiting,
+# where many nodes send: the later it begins, the more work of others delays it.
+DELAY_LOSS = 0.1
 # Loss of a send to another failure domain, in units of weight.
 OTHER_DOMAIN_LOSS = 0.01
 # Loss on a backend server that fails every send, as a multiple of the request's weight.
@@ -76,6 +84,8 @@
         event or the answer.
     :param average_call_ms: average duration of a call of the plain service; unused for
         engines.
+    :param deadline_ms: time left until the answer must be complete.
+    :param many_senders: whether so many nodes send that each learns of most sends late.
     :param cost: what the caller loses when it is late or not served.
     """
 
@@ -85,6 +95,8 @@
     gap_objective_ms: float
     caller_timeout_ms: float = float("inf")
     average_call_ms: float = 0.0
+    deadline_ms: float = float("inf")
+    many_senders: bool = False
     cost: CallerCost = attrs.field()
 
     @cost.default
@@ -261,11 +273,28 @@
             assignments, candidate.latency_ratio * own_prefill_ms, now
         )
     own_loss = _own_loss(first_ms, demand) + _penalty(candidate, demand)
-    if len(assignments) + 1 == profile.slots:
-        own_loss += LAST_SLOT_LOSS * demand.weight
+    own_loss += demand.weight * _crowd_share(len(assignments) + 1, profile, demand)
+    if demand.many_senders:
+        own_loss += demand.weight * _delay_share(first_ms, end_ms, demand)
     return Estimate(first_ms, end_ms, pause_ms, own_loss, others_loss)
 
 
+def _crowd_share(taken: int, profile: EngineProfile, demand: Demand) -> float:
+    """Return the share of the weight at risk by sends that this node doesn't know."""
+    if demand.many_senders:
+        return CROWD_LOSS * min(1.0, taken / profile.slots) ** 3
+    return LAST_SLOT_LOSS if taken == profile.slots else 0.0
+
+
+def _delay_share(first_ms: float, end_ms: float, demand: Demand) -> float:
+    """Return the share of the weight lost by a late begin, or by a late end."""
+    late_ms = max(0.0, first_ms - demand.objective_ms)
+    until_timeout_ms = max(1.0, demand.caller_timeout_ms - demand.objective_ms)
+    delay = DELAY_LOSS * min(1.0, late_ms / until_timeout_ms)
+    unfinished = (1.0 - demand.cost.late_share) * _miss_risk(end_ms, demand.deadline_ms)
+    return delay + unfinished
+
+
 def prefills_of(assignments: Sequence[Assignment], now: float) -> list[Prefill]:
     """Return the prefills left on an engine with these assignments, in its order."""
     waiting = sorted(
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -12,6 +12,10 @@
 needed. Where a failure domain has many engines, long prompts prefer those of the node's
 own one, too: each start that other domains' nodes must know at once costs a message to
 every node of the fleet.
+
+In a fleet of many senders, long prompts that arrive within some milliseconds don't know
+each other, and the same order would send them to the same engines. There, a hash of
+the request alone decides between the engines of a failure domain where it loses least.
 """
 
 import itertools
@@ -128,7 +132,9 @@
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
     domain_first = long_prompt and own_domain >= MIN_DOMAIN_ENGINES
     group_size = _group_size(
-        own_domain if domain_first else len(open_candidates), long_prompt
+        own_domain if domain_first else len(open_candidates),
+        long_prompt,
+        demand.many_senders,
     )
     ordered = _ordered(open_candidates, long_prompt, domain_first, group_size, salt)
     options = itertools.chain(
@@ -171,7 +177,9 @@
     return candidates
 
 
-def _group_size(engines: int, long_prompt: bool) -> int:
+def _group_size(engines: int, long_prompt: bool, many_senders: bool) -> int:
+    if long_prompt and many_senders:
+        return max(1, engines)
     group_size = 1 + engines // ENGINES_PER_GROUP_MEMBER
     return group_size * LONG_GROUP_FACTOR if long_prompt else group_size
 
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -10,6 +10,7 @@
 from tanagerkeel.relay import (
     BackendRecord,
     Candidate,
+    Demand,
     RelayPlacement,
     choose_placement,
     should_defer,
@@ -142,9 +143,35 @@
         _, placement = self._choose(run, self._state.clock.monotonic())
         return placement
 
+    def settles(self, run: RelayRun, placement: RelayPlacement) -> bool:
+        """
+        Return whether a placement is to be announced and checked before the send.
+
+        Long prompts that arrive within some milliseconds don't know each other, and
+        two of them on one engine delay each other by seconds.
+        """
+        return (
+            placement.long_prompt
+            and not run.settled
+            and not run.events
+            and self._many_senders(run)
+        )
+
+    def _many_senders(self, run: RelayRun) -> bool:
+        """Return whether this node learns of most sends of others late."""
+        from_nodes = self._state.settings.placement.many_senders_from
+        nodes = len(self._state.peers.others) + 1
+        return run.admitted.rank is not None or (
+            from_nodes is not None and nodes >= from_nodes
+        )
+
+    def _demand(self, run: RelayRun, now: float) -> Demand:
+        average_call_ms = self._state.average_call_ms(run.admitted.service.name)
+        return run.demand(now, average_call_ms, self._many_senders(run))
+
     def _choose(self, run: RelayRun, now: float) -> tuple[int, RelayPlacement | None]:
         candidates = list(self._candidates(run, now))
-        demand = run.demand(now, self._state.average_call_ms(run.admitted.service.name))
+        demand = self._demand(run, now)
         return len(candidates), choose_placement(
             candidates, demand, now, run.request.request_id
         )
@@ -194,8 +221,7 @@
         untried = sum(record.server.backend_id not in run.tried for record in usable)
         if untried > len(idle):
             return True
-        demand = run.demand(now, self._state.average_call_ms(run.admitted.service.name))
-        return choose_placement(idle, demand, now) is not None
+        return choose_placement(idle, self._demand(run, now), now) is not None
 
     def _usable(self, run: RelayRun, now: float) -> Iterator[BackendRecord]:
         """Yield what the request may be sent to, held-off backend servers included."""
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -53,6 +53,7 @@
     :param events: number of events forwarded to the caller.
     :param first_s: when the first event, or the whole response, was forwarded.
     :param placed_s: when a backend server was first chosen.
+    :param settled: whether its first placement was announced before the send.
     :param last_event_s: when the last event was forwarded.
     :param longest_gap_s: longest pause between forwarded events so far, in seconds.
     :param backend_error: error response of a backend server, forwarded to the caller
@@ -77,6 +78,7 @@
     events: int = 0
     first_s: float | None = None
     placed_s: float | None = None
+    settled: bool = False
     last_event_s: float | None = None
     longest_gap_s: float = 0.0
     backend_error: ErrorReply | None = None
@@ -174,12 +176,16 @@
         share_s = BACKEND_TIMEOUT_SHARE * self.caller_timeout_s
         return max(share_s, min(OVERDUE_FACTOR * expected_s, self.caller_timeout_s))
 
-    def demand(self, now: float, average_call_ms: float) -> Demand:
+    def demand(
+        self, now: float, average_call_ms: float, many_senders: bool = False
+    ) -> Demand:
         """
         Return what placement needs to know of the request.
 
         :param now: monotonic time, in seconds.
         :param average_call_ms: average duration of a call of a plain service.
+        :param many_senders: whether so many nodes send that each learns of most sends
+            late.
         """
         model_demand = self.request.demand
         engine = self.admitted.service.engine
@@ -195,6 +201,8 @@
             gap_objective_ms=float(self.admitted.route.gap_objective_ms),
             caller_timeout_ms=max(0.0, 1_000 * (self.next_event_deadline_s - now)),
             average_call_ms=average_call_ms,
+            deadline_ms=max(0.0, 1_000 * (self.deadline_s - now)),
+            many_senders=many_senders,
             cost=self.cost,
         )
 
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -193,7 +193,7 @@
     async def _send_until_answered(self, run: RelayRun) -> None:
         connect_failures = 0
         while True:
-            placement = await self._placer.place(run)
+            placement = await self._place(run)
             match placement:
                 case OutOfReach(refusal):
                     if not await self._forward(run):
@@ -223,6 +223,14 @@
                         await self._give_up_after(run, outcome)
                         return
 
+    async def _place(self, run: RelayRun) -> RelayPlacement | Refusal | OutOfReach:
+        placement = await self._placer.place(run)
+        match placement:
+            case RelayPlacement() if self._placer.settles(run, placement):
+                return await self._sender.settle(run, placement)
+            case _:
+                return placement
+
     async def _ends_after(
         self, run: RelayRun, connect_failures: int, outcome: NotSent
     ) -> bool:
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -39,6 +39,9 @@
 # How long the quarantines still count a request as running after its connection broke,
 # in seconds, so that a crash that is detected only then is attributed to it.
 LATE_CRASH_WINDOW_S = 2.0
+# Time between the announcement of a placement and its send, in seconds: within it the
+# peers of the failure domain, which read datagrams up to every 30 ms, have it.
+SETTLE_S = 0.04
 
 
 @attrs.define
@@ -155,6 +158,38 @@
         """Return whether the backend server of a connection that broke has crashed."""
         return await self._outcome_recorder.has_crashed(server)
 
+    async def settle(self, run: RelayRun, placement: RelayPlacement) -> RelayPlacement:
+        """
+        Announce a placement to the peers, and return the best one a moment later.
+
+        By then the announcements of peers that chose at the same moment are known.
+        """
+        run.settled = True
+        now = self._state.clock.monotonic()
+        assignments = self._expected_assignments(run, placement, now)
+        for assignment in assignments:
+            self._state.assignments.add(assignment)
+        self._peer_updates.notify_work_started(
+            placement.affects_other_domains, placement.long_prompt
+        )
+        try:
+            await self._state.clock.sleep(SETTLE_S)
+        finally:
+            for assignment in assignments:
+                self._state.assignments.discard(assignment)
+        settled = self._best_placement(run)
+        if settled is None:
+            return placement
+        if settled.candidate.server != placement.candidate.server:
+            log(
+                LogEvent.RELAY_PLACEMENT_CHANGED,
+                request=run.request.request_id,
+                backend=placement.candidate.server.backend_id,
+                to=settled.candidate.server.backend_id,
+                first_ms=round(settled.estimate.first_ms, 1),
+            )
+        return settled
+
     async def send(self, run: RelayRun, placement: RelayPlacement) -> AttemptOutcome:
         """Send a request to its placement and return how the attempt ended."""
         assignments = self._expected_assignments(
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -9,7 +9,13 @@
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.queueing import CostRules
 
-__all__ = ["QueueingRules", "RelayBounds", "RelaySettings", "load_relay_settings"]
+__all__ = [
+    "PlacementSettings",
+    "QueueingRules",
+    "RelayBounds",
+    "RelaySettings",
+    "load_relay_settings",
+]
 
 
 def _validate_address(instance: object, attribute: attrs.Attribute, value: str) -> None:
@@ -68,6 +74,21 @@
     every_service: bool = False
 
 
+@attrs.frozen
+class PlacementSettings:
+    """
+    How backend servers are chosen.
+
+    :param many_senders_from: number of nodes from which on each node counts on sends of
+        others that it learns of late; None for never.
+    """
+
+    many_senders_from: int | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(attrs.validators.gt(0)),
+    )
+
+
 @attrs.frozen
 class RelaySettings:
     """
@@ -88,6 +109,7 @@
         reports that it isn't ready, in seconds; the load balancer checks each second
         and removes a node after two failed checks.
     :param queueing: how requests that wait are ordered and turned away.
+    :param placement: how backend servers are chosen.
     :param cpu_share: share of the time of its cores that the VM gives the node.
     :param cpu_cores: the VM's cores. Where share and cores are small, callers connect
         to the node while its program is still being loaded.
@@ -105,6 +127,7 @@
     log_lines_per_s: int = _positive_field(200)
     drain_delay_s: float = attrs.field(default=2.6, validator=attrs.validators.ge(0))
     queueing: QueueingRules = QueueingRules()
+    placement: PlacementSettings = PlacementSettings()
     cpu_share: float = _positive_field(1.0)
     cpu_cores: float = _positive_field(1.0)
 
