--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -268,6 +268,8 @@
         for a in assignments
         if a.first_event_seen and a.gap_objective_ms
     )
+    if demand.many_senders:
+        others_loss += _later_pause_loss(candidate, profile, pause_ms, first_ms, now)
     if engines > 1:
         others_loss += _delay_loss(
             assignments, candidate.latency_ratio * own_prefill_ms, now
@@ -309,6 +311,46 @@
     return DecodeBatch(len(decoding), sum(a.prompt_tokens for a in decoding))
 
 
+def _later_pause_loss(
+    candidate: Candidate,
+    profile: EngineProfile,
+    pause_ms: float,
+    first_ms: float,
+    now: float,
+) -> float:
+    """
+    Return the expected loss of requests that begin to be decoded during a prefill.
+
+    Load pattern: several prompts of medium length arrive within half a second. Each
+    would begin in time on the same engine, and the first answers there would then pause
+    while the later prompts are prefilled.
+
+    :param pause_ms: longest pause during the prefill.
+    :param first_ms: when the prefill ends.
+    """
+    waiting = [a for a in candidate.assignments if not a.first_event_seen]
+    last_s = max((a.first_s for a in waiting), default=now)
+    batch = DecodeBatch(
+        len(candidate.assignments), sum(a.prompt_tokens for a in candidate.assignments)
+    )
+    undisturbed_ms = candidate.latency_ratio * longest_pass_ms(profile, batch)
+    # Those before the last one are disturbed by its prefill in any case.
+    return sum(
+        OTHERS_LOSS_FACTOR
+        * a.cost.weight
+        * a.cost.late_share
+        * max(
+            0.0,
+            _miss_risk(pause_ms, a.gap_objective_ms)
+            - _miss_risk(undisturbed_ms, a.gap_objective_ms),
+        )
+        for a in waiting
+        if a.gap_objective_ms
+        and a.first_s >= last_s
+        and 1_000 * (a.first_s - now) < first_ms
+    )
+
+
 def _delay_loss(
     assignments: Sequence[Assignment], delay_ms: float, now: float
 ) -> float:
