--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -51,6 +51,7 @@
     SectionReport,
     StartReport,
 )
+from tanagerkeel.relay._slow_reports import SlowReport, SlowReports
 from tanagerkeel.relay._store_contact import ContactReport
 from tanagerkeel.relay._store_era import EraChange, StoreEra
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
@@ -109,6 +110,8 @@
     "ServerState",
     "ServiceSpec",
     "SendReport",
+    "SlowReport",
+    "SlowReports",
     "StartReport",
     "StoreChange",
     "StoreEra",
--- a/src/tanagerkeel/relay/_assignments.py
+++ b/src/tanagerkeel/relay/_assignments.py
@@ -107,7 +107,7 @@
         assignments: Iterable[Assignment],
         now: float,
         valid_s: float = PEER_TIMEOUT_S,
-    ) -> None:
+    ) -> bool:
         """
         Replace all that a peer has assigned, unless the update is outdated.
 
@@ -117,12 +117,13 @@
         :param assignments: all that it has assigned now.
         :param now: monotonic time, in seconds.
         :param valid_s: time after which the update is ignored, in seconds.
+        :returns: whether it is the newest update of the peer.
         """
         known = self._peers.get(node)
-        if known is None or sequence > known.sequence:
-            self._peers[node] = _PeerAssignments(
-                sequence, now, valid_s, tuple(assignments)
-            )
+        if known is not None and sequence <= known.sequence:
+            return False
+        self._peers[node] = _PeerAssignments(sequence, now, valid_s, tuple(assignments))
+        return True
 
     def remove_peer(self, node: str) -> None:
         """Remove a peer that is gone, with all that it has assigned."""
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -24,6 +24,7 @@
     verify_frame,
 )
 from tanagerkeel.quarantine import QuarantineEntry
+from tanagerkeel.queueing import BacklogReport
 from tanagerkeel.relay import (
     LONG_PROMPT_TOKENS,
     PEER_TIMEOUT_S,
@@ -31,6 +32,7 @@
     Assignment,
     SectionReport,
     SendReport,
+    SlowReport,
     StartReport,
     UpdateIntervals,
     read_interval_s,
@@ -127,6 +129,21 @@
         )
 
 
+@attrs.frozen
+class _QueueingUpdate(_PeerUpdate):
+    """
+    An update with what only nodes that order waiting requests tell each other.
+
+    A node with nothing to tell of it sends a ``_PeerUpdate``, whose bytes are those of
+    builds that have none of this; these ignore the further fields.
+    """
+
+    # What waits at the sender, for the nodes of its failure domain.
+    backlogs: tuple[BacklogReport, ...] = ()
+    # Backend servers that the sender or a peer found slow, as the sender measured them.
+    slow_servers: tuple[SlowReport, ...] = ()
+
+
 def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
     return _PackedAssignment(
         assignment.backend_id,
@@ -266,6 +283,16 @@
         """
         self._schedule(START_DELAY_S if all_domains else PROGRESS_DELAY_S, all_domains)
 
+    def notify_backlog_changed(self) -> None:
+        """
+        Schedule an update after a request began or ceased to wait.
+
+        Only the nodes of this failure domain need it, and only if a backlog began or
+        ended, or if its ranks are other ones than in the last update.
+        """
+        if self._state.fleet_beliefs.backlog_is_news(self._state.clock.monotonic()):
+            self._schedule(START_DELAY_S, False)
+
     def notify_all_peers(self) -> None:
         """Schedule an update to all peers, about retries, suspects or lost servers."""
         self._schedule(START_DELAY_S, True)
@@ -281,7 +308,7 @@
                 self._handlers[frame.kind](frame.sender, frame.payload)
                 return
             update, left_out = codec.unpack_compact_leniently(
-                frame.payload, _PeerUpdate
+                frame.payload, _QueueingUpdate
             )
         except (FrameRejected, codec.InvalidValue) as error:
             log(
@@ -294,13 +321,15 @@
             self._log_left_out(frame, left_out)
         now = self._state.clock.monotonic()
         valid_s = self._valid_s(frame.sender, update)
-        self._state.assignments.update_peer(
+        newest = self._state.assignments.update_peer(
             frame.sender,
             (frame.session, frame.sequence),
             (_unpack(packed, now) for packed in update.assignments),
             now,
             valid_s,
         )
+        if newest:
+            self._merge_beliefs(frame.sender, update, now)
         long_starts = {
             packed.backend_id
             for packed in update.assignments
@@ -337,6 +366,19 @@
             left_out=list(left_out[:MAX_LOGGED_PROBLEMS]),
         )
 
+    def _merge_beliefs(self, sender: str, update: _QueueingUpdate, now: float) -> None:
+        peer = self._state.peers.get(sender)
+        own_domain = self._state.settings.failure_domain
+        near = peer is not None and peer.failure_domain == own_domain
+        # What waits in another failure domain, or can't be sent from where it waits,
+        # takes no place here.
+        backlogs = (
+            report
+            for report in update.backlogs
+            if near and report.service not in update.unreachable_services
+        )
+        self._state.fleet_beliefs.merge(sender, backlogs, update.slow_servers, now)
+
     def _merge_section_evidence(
         self, frame: Frame, update: _PeerUpdate, now: float
     ) -> None:
@@ -377,12 +419,16 @@
         self._domain_timer = self._all_timer = None
 
     def _next_intervals(self) -> UpdateIntervals:
-        return repeat_intervals(
+        beliefs = self._state.fleet_beliefs
+        intervals = repeat_intervals(
             len(self._state.peers.others) + 1,
-            bool(self._state.assignments.own),
+            bool(self._state.assignments.own) or beliefs.has_backlog,
             self._has_facts,
             self._sent_to_all,
         )
+        if not beliefs.repeat_soon:
+            return intervals
+        return attrs.evolve(intervals, near_s=PROGRESS_DELAY_S)
 
     def _send_to_domain(self) -> None:
         self._domain_timer = None
@@ -421,7 +467,7 @@
         ):
             return None
         now = self._state.clock.monotonic()
-        return _PeerUpdate(
+        update = _PeerUpdate(
             tuple(_pack(a, now) for a in self._state.assignments.own[:MAX_ASSIGNMENTS]),
             self._state.quarantine.take_updates(now)[:MAX_SUSPECTS],
             self._state.used_retry_extra(),
@@ -431,6 +477,12 @@
             self._state.rate_limits.reports(now),
             self._state.unreachable_services(),
         )
+        beliefs = self._state.fleet_beliefs
+        backlogs, slow_servers = beliefs.take_backlogs(now), beliefs.slow_reports(now)
+        if not backlogs and not slow_servers:
+            return update
+        fields = attrs.asdict(update, recurse=False)
+        return _QueueingUpdate(**fields, backlogs=backlogs, slow_servers=slow_servers)
 
     def _transmit_update(
         self,
--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["NODE_KEY_PREFIX", "Peer", "PeerTable", "node_id_from_key"]
+__all__ = ["NODE_KEY_PREFIX", "Peer", "PeerReport", "PeerTable", "node_id_from_key"]
 
 NODE_KEY_PREFIX = "tanagerkeel/nodes/"
 # How long a node whose key is missing after an outage of the store, or in an older copy
@@ -43,6 +43,21 @@
     forward_address: str = ""
 
 
+@attrs.frozen
+class PeerReport:
+    """
+    A peer's newest report of its retries.
+
+    :param received_s: monotonic time of its arrival, in seconds.
+    :param valid_s: time for which it is valid, in seconds.
+    :param retries: retries that the peer has taken from the extra, by service.
+    """
+
+    received_s: float
+    valid_s: float
+    retries: dict[str, int]
+
+
 @attrs.define
 class PeerTable:
     """
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -27,7 +27,8 @@
     parse_rate_limit,
     parse_retry_after,
 )
-from tanagerkeel.relay_entry._peers import Peer, PeerTable
+from tanagerkeel.relay_entry._fleet_beliefs import FleetBeliefs
+from tanagerkeel.relay_entry._peers import Peer, PeerReport, PeerTable
 from tanagerkeel.relay_entry._settings import RelaySettings
 from tanagerkeel.relay_entry._store_updates import (
     BackendRemoval,
@@ -57,21 +58,6 @@
 MAX_LOGGED_CHARACTERS = 80
 
 
-@attrs.frozen
-class _PeerReport:
-    """
-    A peer's newest report of its retries.
-
-    :param received_s: monotonic time of its arrival, in seconds.
-    :param valid_s: time for which it is valid, in seconds.
-    :param retries: retries that the peer has taken from the extra, by service.
-    """
-
-    received_s: float
-    valid_s: float
-    retries: dict[str, int]
-
-
 @attrs.define
 class RelayState:
     """
@@ -97,6 +83,7 @@
         a long prompt.
     :param peers: the nodes whose keys are in the store.
     :param cold_limiter: limits this node's sends to cold backend servers.
+    :param fleet_beliefs: what waits at peers, and which backend servers they find slow.
     """
 
     settings: RelaySettings
@@ -116,9 +103,10 @@
     cold_limiter: ColdStartLimiter = attrs.field()
     section_quarantine: SectionQuarantine = attrs.field()
     rate_limits: RateLimitTable = attrs.field()
+    fleet_beliefs: FleetBeliefs = attrs.field()
     _retry_budgets: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
-    _peer_reports: dict[str, _PeerReport] = attrs.field(factory=dict)
+    _peer_reports: dict[str, PeerReport] = attrs.field(factory=dict)
     # When any node of a failure domain was last heard, by the domain's name.
     _domain_heard_s: dict[str, float] = attrs.field(factory=dict)
     # Services of which each peer reaches no backend server.
@@ -155,6 +143,10 @@
     def _default_rate_limits(self) -> RateLimitTable:
         return RateLimitTable(self.settings.node_id)
 
+    @fleet_beliefs.default
+    def _default_fleet_beliefs(self) -> FleetBeliefs:
+        return FleetBeliefs(self.settings.node_id)
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send callers to this node."""
@@ -296,7 +288,7 @@
         :param valid_s: time for which the report is valid, in seconds.
         """
         now = self.clock.monotonic()
-        self._peer_reports[node] = _PeerReport(now, valid_s, retries)
+        self._peer_reports[node] = PeerReport(now, valid_s, retries)
         peer = self.peers.get(node)
         if peer is not None:
             self._domain_heard_s[peer.failure_domain] = now
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -557,6 +557,7 @@
     def _remove_peer(self, node_id: str) -> None:
         if self._state.peers.remove(node_id, self._state.clock.monotonic()):
             self._state.assignments.remove_peer(node_id)
+            self._state.fleet_beliefs.remove_peer(node_id)
             log(
                 LogEvent.PEER_GONE,
                 peer=node_id,
