--- a/src/tanagerkeel/queueing/__init__.py
+++ b/src/tanagerkeel/queueing/__init__.py
@@ -11,6 +11,7 @@
     should_yield,
 )
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
+from tanagerkeel.queueing._yield_times import YieldTimes
 
 __all__ = [
     "BACKLOG_VALID_S",
@@ -23,6 +24,7 @@
     "RankedWork",
     "RouteCost",
     "WaitingRequest",
+    "YieldTimes",
     "backlog_reports",
     "should_yield",
 ]
--- a/src/tanagerkeel/queueing/_peer_backlogs.py
+++ b/src/tanagerkeel/queueing/_peer_backlogs.py
@@ -48,8 +48,8 @@
 MAX_COUNT = 65_535
 MAX_WORK_MS = 2**31 - 1
 MAX_DUE_MS = 3_600_000
-# Share of the time that a request had left when it first yielded, for which it yields
-# at most, and the same in seconds. The rest is for its own wait for a place.
+# Share of the time that a request has left for which it leaves places free at most, and
+# the same in seconds. The rest is for its own wait for a place.
 YIELD_SHARE = 0.5
 MAX_YIELD_S = 10.0
 # Time in which a node takes a free place and its peers learn of it, in seconds: nodes
@@ -246,8 +246,8 @@
     :param free_places: number of requests that could be placed now, as this node sees.
     :param peers: what waits at the peers of its failure domain.
     :param service: name of the service.
-    :param waited_s: time since the request first yielded a place, in seconds; 0 if it
-        has not.
+    :param waited_s: for how long the request has left free places to others in all, in
+        seconds; see ``YieldTimes``.
     :param now: monotonic time, in seconds.
     :param rank: the request's effective rank; None if that is its rank.
     :param free_for_s: for how long this node has seen a free place without a break, in
--- a/src/tanagerkeel/relay/_slow_reports.py
+++ b/src/tanagerkeel/relay/_slow_reports.py
@@ -15,6 +15,7 @@
 """
 
 import collections
+import itertools
 import statistics
 from collections.abc import Iterable, Iterator
 
@@ -27,6 +28,9 @@
 # How long a measurement counts, in seconds. Its weight against 1 falls linearly, so
 # that an engine that all avoid gets some requests again, which measure it.
 VALID_S = 20.0
+# Age at which a measurement has half the weight of a new one, in seconds: an engine
+# that has turned slow must not count as sound while earlier measurements are valid.
+HALF_LIFE_S = 4.0
 # Number of samples, of all nodes together, from which an engine counts as slow.
 MIN_SAMPLES = 3
 # Number of nodes that must have measured it, this one included.
@@ -86,12 +90,15 @@
     measured_s: float
 
     @property
-    def weight(self) -> int:
+    def counted_samples(self) -> int:
         return min(self.samples, MAX_NODE_SAMPLES)
 
     def is_valid(self, now: float) -> bool:
         return now - self.measured_s < VALID_S
 
+    def weight(self, now: float) -> float:
+        return self.counted_samples * 0.5 ** ((now - self.measured_s) / HALF_LIFE_S)
+
     def faded(self, now: float) -> float:
         """Return the ratio, which approaches 1 with its age."""
         share = 1.0 - max(0.0, now - self.measured_s) / VALID_S
@@ -160,7 +167,7 @@
             SlowReport(
                 *incarnation,
                 round(100 * relative),
-                own.weight,
+                own.counted_samples,
                 int(1_000 * (now - own.measured_s)),
             )
             for _, _, incarnation, relative, own in told[:MAX_SLOW_REPORTS]
@@ -213,15 +220,15 @@
         by_node = self._peers.get(incarnation)
         if by_node is None:
             return own_ratio
-        measured = [
-            (m.faded(now), m.weight) for m in by_node.values() if m.is_valid(now)
-        ]
-        if not measured:
+        found = [m for m in by_node.values() if m.is_valid(now)]
+        if not found:
             return own_ratio
-        if own_samples > 0:
-            weight = min(own_samples, MAX_NODE_SAMPLES)
-            measured.append((own_ratio / self._baseline, weight))
-        samples = sum(weight for _, weight in measured)
+        measured = [(m.faded(now), m.weight(now)) for m in found]
+        samples = sum(m.counted_samples for m in found)
+        own = self._own.get(incarnation)
+        if own is not None and own_samples > 0:
+            measured.append((own_ratio / self._baseline, own.weight(now)))
+            samples += min(own_samples, MAX_NODE_SAMPLES)
         if len(measured) < MIN_NODES or samples < MIN_SAMPLES:
             return own_ratio
         return self._baseline * _weighted_median(measured)
@@ -247,12 +254,12 @@
             del self._own[incarnation]
 
 
-def _weighted_median(measured: list[tuple[float, int]]) -> float:
+def _weighted_median(measured: list[tuple[float, float]]) -> float:
     """Return the lower median of values by their weights."""
-    half = sum(weight for _, weight in measured) / 2
-    passed = 0
-    for value, weight in sorted(measured):
-        passed += weight
-        if passed >= half:
-            return value
-    raise ValueError("no values")
+    values = sorted(measured)
+    passed = itertools.accumulate(weight for _, weight in values)
+    half = sum(weight for _, weight in values) / 2
+    return next(
+        (v for (v, _), p in zip(values, passed, strict=True) if p >= half),
+        values[-1][0],
+    )
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -256,7 +256,9 @@
                 same_domain=record.server.failure_domain == own_domain,
                 cold=record.is_cold(now),
                 failure_rate=record.failure_rate(now),
-                latency_ratio=max(1.0, record.latency_ratio),
+                latency_ratio=max(
+                    1.0, self._state.fleet_beliefs.latency_ratio(record, now)
+                ),
                 limited=self._state.rate_limits.limit(record.server.incarnation)
                 is not None,
             )
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -120,9 +120,8 @@
         ):
             return
         record = self._state.backends.get(backend_id)
-        pause_ms = expected_pause_ms(
-            profile, assignments, now, max(1.0, record.latency_ratio) if record else 1.0
-        )
+        ratio = self._state.fleet_beliefs.latency_ratio(record, now) if record else 1.0
+        pause_ms = expected_pause_ms(profile, assignments, now, max(1.0, ratio))
         since_event_ms = 1_000 * (now - run.last_event_s)
         run.avoid(backend_id, now)
         other = self._best_placement(run)
@@ -341,9 +340,9 @@
             average_call_ms = self._state.average_call_ms(run.admitted.service.name)
             latency_ratio = took_ms / average_call_ms
             self._state.record_call_time(run.admitted.service.name, took_ms)
-        self._state.backends.record_success(
-            placement.candidate.server, now, latency_ratio
-        )
+        server = placement.candidate.server
+        self._state.backends.record_success(server, now, latency_ratio)
+        self._state.fleet_beliefs.record_ratio(server.incarnation, latency_ratio, now)
         self._metrics.first.labels(run.admitted.route.name).observe(
             now - run.request.arrived_s
         )
