--- a/tests/test_order_across_nodes.py
+++ b/tests/test_order_across_nodes.py
@@ -223,6 +223,17 @@
             assert yields[0] is (due_2_s < due_1_s)
 
 
+def test_two_nodes_whose_requests_are_due_in_the_same_millisecond_do_not_both_yield():
+    for offset_1_s, offset_2_s in ((0.0008, 0.0009), (0.0009, 0.0008)):
+        first, second = PeerBacklogs("n1"), PeerBacklogs("n2")
+        _report(first, "n2", _request(due_s=5.0 + offset_2_s))
+        _report(second, "n1", _request(due_s=5.0 + offset_1_s))
+        assert not (
+            _yields(_request(due_s=5.0 + offset_1_s), first)
+            and _yields(_request(due_s=5.0 + offset_2_s), second)
+        )
+
+
 def test_a_late_request_of_a_peer_does_not_make_one_of_its_rank_late():
     peers = PeerBacklogs("n1")
     _report(peers, "n2", _request(due_s=1.0))
