--- a/tests/test_order_across_nodes.py
+++ b/tests/test_order_across_nodes.py
@@ -202,6 +202,17 @@
     assert not _yields(_request(rank=2), peers, free=0)
 
 
+def test_each_more_urgent_request_of_a_peer_takes_a_place():
+    peers = PeerBacklogs("n1")
+    _report(peers, "n2", *[_request(rank=0)] * 3)
+    _report(peers, "n3", _request(rank=1))
+    assert _yields(_request(rank=2), peers, free=4)
+    assert not _yields(_request(rank=2), peers, free=5)
+    # One after the other would have taken it.
+    assert _yields(_request(rank=2), peers, free_for_s=3.9 * TAKE_S)
+    assert not _yields(_request(rank=2), peers, free_for_s=4.1 * TAKE_S)
+
+
 def test_an_effective_rank_counts_instead_of_the_rank():
     peers = PeerBacklogs("n1")
     _report(peers, "n2", _request(rank=3))
