--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -16,7 +16,13 @@
     ServiceSpec,
 )
 from tanagerkeel.relay._deferral import should_defer
-from tanagerkeel.relay._estimate import Candidate, Demand, Estimate, estimate
+from tanagerkeel.relay._estimate import (
+    LONG_PROMPT_TOKENS,
+    Candidate,
+    Demand,
+    Estimate,
+    estimate,
+)
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
 from tanagerkeel.relay._fleet_size import SMALL_FLEET_NODES
 from tanagerkeel.relay._hold_off import HoldOffTable, parse_retry_after
@@ -31,11 +37,7 @@
     step_ms,
 )
 from tanagerkeel.relay._peer_choice import PeerCandidate, choose_peer
-from tanagerkeel.relay._placement import (
-    LONG_PROMPT_TOKENS,
-    RelayPlacement,
-    choose_placement,
-)
+from tanagerkeel.relay._placement import RelayPlacement, choose_placement
 from tanagerkeel.relay._ranks import Rank
 from tanagerkeel.relay._rate_limit import (
     RateLimitTable,
--- a/src/tanagerkeel/relay/_deferral.py
+++ b/src/tanagerkeel/relay/_deferral.py
@@ -11,8 +11,8 @@
 can still meet their objective.
 """
 
-from tanagerkeel.relay._estimate import Demand
-from tanagerkeel.relay._placement import LONG_PROMPT_TOKENS, RelayPlacement
+from tanagerkeel.relay._estimate import LONG_PROMPT_TOKENS, Demand
+from tanagerkeel.relay._placement import RelayPlacement
 
 __all__ = ["should_defer"]
 
--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -31,12 +31,16 @@
     "Candidate",
     "Demand",
     "Estimate",
+    "LONG_PROMPT_TOKENS",
     "decode_batch_of",
     "engines_for_memory",
     "estimate",
     "prefills_of",
 ]
 
+# Prompts from this length on, in tokens, are long: their prefill takes so many steps
+# that it lengthens the pauses of other answers.
+LONG_PROMPT_TOKENS = 20_000
 # Ratios of an estimate to its objective: the risk of a miss is 0 up to the first ratio,
 # 1 from the second one on, and linear between them. Estimates are off by 10 to 20 %.
 RISK_FROM_RATIO = 0.75
@@ -47,9 +51,14 @@
 # Share of its weight that a request may lose on an engine's last slot: another node may
 # be assigning that slot at the same moment.
 LAST_SLOT_LOSS = 0.1
-# The same where many nodes send: it grows with the cube of the share of slots taken, so
-# that few assignments cost nearly nothing and short requests still share engines.
+# The same for a short request where many nodes send: it grows with the cube of the
+# share of slots taken, so that few assignments cost nearly nothing and short requests
+# still share engines. Long ones count the harm to the answers there.
 CROWD_LOSS = 0.2
+# Share of its weight that a request may lose in another failure domain where many nodes
+# send: of most requests there this node learns when they have ended. It is the loss of
+# a short request on the last slot but one.
+UNSEEN_DOMAIN_LOSS = 0.12
 # Share of its weight that a late request loses further until its caller stops waiting,
 # where many nodes send: the later it begins, the more work of others delays it.
 DELAY_LOSS = 0.1
@@ -283,7 +292,7 @@
 
 def _crowd_share(taken: int, profile: EngineProfile, demand: Demand) -> float:
     """Return the share of the weight at risk by sends that this node doesn't know."""
-    if demand.many_senders:
+    if demand.many_senders and demand.prompt_tokens < LONG_PROMPT_TOKENS:
         return CROWD_LOSS * min(1.0, taken / profile.slots) ** 3
     return LAST_SLOT_LOSS if taken == profile.slots else 0.0
 
@@ -371,6 +380,8 @@
 
 def _penalty(candidate: Candidate, demand: Demand) -> float:
     other_domain = 0.0 if candidate.same_domain else OTHER_DOMAIN_LOSS
+    if demand.many_senders and not candidate.same_domain:
+        other_domain += UNSEEN_DOMAIN_LOSS * demand.weight
     cold = COLD_LOSS * demand.weight if candidate.cold else 0.0
     excess_failure_rate = max(0.0, candidate.failure_rate - IGNORED_FAILURE_RATE)
     return other_domain + cold + excess_failure_rate * FAILURE_LOSS * demand.weight
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -26,6 +26,7 @@
 import xxhash
 
 from tanagerkeel.relay._estimate import (
+    LONG_PROMPT_TOKENS,
     Candidate,
     Demand,
     Estimate,
@@ -34,7 +35,7 @@
 )
 from tanagerkeel.relay._pass_model import prefill_ms
 
-__all__ = ["LONG_PROMPT_TOKENS", "RelayPlacement", "choose_placement"]
+__all__ = ["RelayPlacement", "choose_placement"]
 
 # Requests that a backend server may be given beyond its slots. It starts the next one
 # itself, sooner than a node would be notified of a free slot.
@@ -49,8 +50,6 @@
 ENGINES_PER_GROUP_MEMBER = 15
 # Factor of the group size for long prompts, as each takes several engines at once.
 LONG_GROUP_FACTOR = 3
-# Prompts from this length on, in tokens, use the shared order from its end.
-LONG_PROMPT_TOKENS = 20_000
 # From this number of open engines in the node's own failure domain on, long prompts
 # prefer them; it is more than one prompt is split between.
 MIN_DOMAIN_ENGINES = 16
