--- a/src/tanagerkeel/admission/_admission.py
+++ b/src/tanagerkeel/admission/_admission.py
@@ -6,10 +6,10 @@
 
 from tanagerkeel.admission._capacity import CapacitySource, Lane, UnlimitedCapacity
 from tanagerkeel.admission._fair_queue import FairQueue, QueuedRequest
-from tanagerkeel.admission._rates import RateMeter
 from tanagerkeel.admission._usage import AccountUsage, UsageTracker
 from tanagerkeel.clock import Clock
 from tanagerkeel.errors import Ran, ResultCode, TanagerkeelError
+from tanagerkeel.queueing import DrainRate, bounded_s, expected_wait_s, is_feasible
 from tanagerkeel.requests import LengthClass
 
 __all__ = ["Admission", "AdmissionRequest", "Ticket"]
@@ -18,10 +18,6 @@
 ADMIT_INTERVAL_S = 0.02
 # Interval at which the accounts' weight factors are refreshed.
 FACTORS_INTERVAL_S = 1.0
-# Decay time of a lane's drain rate.
-RATE_HORIZON_S = 5.0
-# A backlog must last for this time before its drain rate is used.
-MIN_BACKLOG_S = 1.0
 # Fraction of the streams that long requests may use; the rest is kept for short ones.
 LONG_STREAMS_SHARE = 0.5
 # Bounds of the Retry-After value.
@@ -55,11 +51,8 @@
     queue: FairQueue = attrs.field(factory=FairQueue)
     # Admitted work that the fleet table does not include yet.
     undispatched_tokens: float = 0.0
-    # Measures admitted tokens since the queue was last empty.
-    drain_meter: RateMeter | None = None
-    backlog_since_s: float = 0.0
-    # Tokens per second when the queue last became empty.
-    last_drain_rate: float = 0.0
+    # In tokens per second.
+    drain_rate: DrainRate = attrs.field(factory=DrainRate)
     factors_due_s: float = 0.0
 
 
@@ -164,13 +157,14 @@
         state = self._lanes.get(request.lane)
         if state is None or not len(state.queue):
             return 0.0
-        rate = _drain_rate(state, self._clock.monotonic())
-        if rate <= 0.0:
-            return 0.0
+        rate = state.drain_rate.per_s(self._clock.monotonic())
         queue = state.queue
         share = queue.share_of(request.account, request.weight)
         own_tokens = queue.backlog_tokens(request.account) + request.cost_tokens
-        return min(queue.queued_tokens / rate, own_tokens / (rate * share))
+        return min(
+            expected_wait_s(queue.queued_tokens, rate),
+            expected_wait_s(own_tokens, rate * share),
+        )
 
     def enqueue(self, request: AdmissionRequest) -> Ticket:
         """
@@ -193,8 +187,7 @@
         admitted = asyncio.get_running_loop().create_future()
         ticket = Ticket(self, request, item, admitted)
         if not len(state.queue):
-            state.drain_meter = RateMeter(RATE_HORIZON_S)
-            state.backlog_since_s = now
+            state.drain_rate.record_backlog(now)
         state.queue.push(item)
         self._tickets[id(item)] = ticket
         self.admit_waiting()
@@ -221,9 +214,9 @@
 
     def _check_feasible(self, request: AdmissionRequest, now: float) -> None:
         wait_s = self.expected_wait_s(request)
-        remaining_s = request.deadline_s - now
-        if wait_s + request.service_s <= remaining_s:
+        if is_feasible(now + wait_s + request.service_s, request.deadline_s):
             return
+        remaining_s = request.deadline_s - now
         raise TanagerkeelError(
             ResultCode.DEADLINE_INFEASIBLE,
             f"about {wait_s + request.service_s:.1f} s are needed, "
@@ -304,9 +297,7 @@
     ) -> None:
         ticket = self._tickets.pop(id(item))
         state.undispatched_tokens += item.cost_tokens
-        state.drain_meter.add(item.cost_tokens, now)
-        if not len(state.queue):
-            state.last_drain_rate = _drain_rate(state, now)
+        state.drain_rate.record_started(item.cost_tokens, now, len(state.queue))
         self._usage.record_admitted(item.account, item.cost_tokens, now)
         self._streams += 1
         self._long_streams += lane.length_class is not LengthClass.SHORT
@@ -349,12 +340,6 @@
             self._admit_task = None
 
 
-def _drain_rate(state: _LaneState, now: float) -> float:
-    if state.drain_meter is None or now - state.backlog_since_s < MIN_BACKLOG_S:
-        return state.last_drain_rate
-    return state.drain_meter.rate(now)
-
-
 def _retrieve_exception(admitted: "asyncio.Future[None]") -> None:
     # Otherwise asyncio logs "exception was never retrieved" for a refused request
     # whose caller has gone.
@@ -363,7 +348,7 @@
 
 
 def _retry_after_s(wait_s: float) -> float:
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+    return bounded_s(wait_s, MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
 
 
 def _overloaded(wait_s: float) -> TanagerkeelError:
--- a/src/tanagerkeel/admission/_usage.py
+++ b/src/tanagerkeel/admission/_usage.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tanagerkeel.admission._rates import RateMeter
+from tanagerkeel.queueing import RateMeter
 
 __all__ = ["AccountUsage", "UsageTracker"]
 
--- a/src/tanagerkeel/queueing/__init__.py
+++ b/src/tanagerkeel/queueing/__init__.py
@@ -1,6 +1,33 @@
 """What waits for a backend server, who goes next, and who is turned away."""
 
 from tanagerkeel.queueing._caller_cost import CallerCost, CostRules, RouteCost
+from tanagerkeel.queueing._drain_rate import DrainRate, RateMeter
+from tanagerkeel.queueing._feasibility import (
+    Rejection,
+    RejectionReason,
+    choose_rejections,
+    expected_wait_s,
+    is_feasible,
+)
+from tanagerkeel.queueing._kept_places import KeptPlace, KeptPlaces
+from tanagerkeel.queueing._return_time import bounded_s, retry_after_s
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
 
-__all__ = ["LOWEST_RANK", "CallerCost", "CostRules", "RouteCost", "WaitingRequest"]
+__all__ = [
+    "LOWEST_RANK",
+    "CallerCost",
+    "CostRules",
+    "DrainRate",
+    "KeptPlace",
+    "KeptPlaces",
+    "RateMeter",
+    "Rejection",
+    "RejectionReason",
+    "RouteCost",
+    "WaitingRequest",
+    "bounded_s",
+    "choose_rejections",
+    "expected_wait_s",
+    "is_feasible",
+    "retry_after_s",
+]
