--- a/src/tanagerkeel/admission/_admission.py
+++ b/src/tanagerkeel/admission/_admission.py
@@ -52,7 +52,7 @@
     # Admitted work that the fleet table does not include yet.
     undispatched_tokens: float = 0.0
     # In tokens per second.
-    drain_rate: DrainRate = attrs.field(factory=DrainRate)
+    drain_rate: DrainRate = attrs.field(factory=lambda: DrainRate(min_starts=0))
     factors_due_s: float = 0.0
 
 
--- a/src/tanagerkeel/queueing/_feasibility.py
+++ b/src/tanagerkeel/queueing/_feasibility.py
@@ -205,14 +205,14 @@
         if not is_feasible(self._now + work_s, request.give_up_s, arrived_s, margin):
             self._reject(request, RejectionReason.NO_TIME_LEFT, self._start_s)
             return
-        late_worth = _worth(request, is_late=True)
+        gain = _worth(request, is_late=on_time_s < last_start_s)
         if self._start_s > last_start_s and not self._make_room(
-            self._kept, last_start_s, late_worth
+            self._kept, last_start_s, gain
         ):
             self._reject(request, RejectionReason.WORK_AHEAD, self._start_s)
             return
         is_late = self._start_s > on_time_s
-        gain = _worth(request, is_late=False) - late_worth
+        gain = _worth(request, is_late=False) - _worth(request, is_late=True)
         if is_late and self._make_room(self._late, on_time_s, gain):
             is_late = False
         self._keep(request, is_late, on_time_s)
@@ -226,9 +226,10 @@
         self._ahead_ms_squared += request.work_ms**2
 
     def _margin(self, request: WaitingRequest, work_s: float) -> float:
-        ahead_s = expected_wait_s(self._ahead_ms, self._work_ms_per_s)
-        squares = self._ahead_ms_squared / self._work_ms_per_s**2 + work_s**2
-        estimates = (ahead_s + work_s) ** 2 / squares if squares > 0.0 else 1.0
+        # Its own work on one backend server counts like work ahead that takes as long.
+        own_ms = work_s * self._work_ms_per_s
+        squares = self._ahead_ms_squared + own_ms**2
+        estimates = (self._ahead_ms + own_ms) ** 2 / squares if squares > 0.0 else 1.0
         margin = wait_margin(estimates)
         return margin if self._is_new(request) else margin * KEEP_MARGIN
 
--- a/src/tanagerkeel/queueing/_return_time.py
+++ b/src/tanagerkeel/queueing/_return_time.py
@@ -45,7 +45,8 @@
     It is at most ``HONOURED_SHARE`` of the time that the caller has left.
 
     :param request: what is refused.
-    :param ahead_ms: work that is served before it, in engine milliseconds.
+    :param ahead_ms: work that would be served before it if it joined the queue again
+        now, in engine milliseconds.
     :param refused_ms: work of all requests that are refused at this moment, itself
         among them.
     :param work_ms_per_s: rate of the queue, in engine milliseconds a second; 0 while it
