--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -20,7 +20,6 @@
     choose_rejections,
     retry_after_s,
 )
-from tanagerkeel.queueing._feasibility import MAX_DISPLACED
 from tanagerkeel.queueing._kept_places import (
     MAX_KEPT_S,
     MAX_PLACES,
@@ -39,6 +38,8 @@
 RATE_MS_PER_S = 1_000.0
 RETURN_GRACE_S = 1.0
 COST = CallerCost(1.0, 0.75)
+# For each request: tries the most others in both heaps, puts them back, is kept itself.
+MAX_HEAP_CALLS = 4 * 16 + 8
 
 
 def _request(
@@ -417,6 +418,24 @@
     assert not _refused([*late, worthless], now=2.0)
 
 
+def test_a_late_request_that_is_on_time_once_others_give_way_is_worth_it_in_full():
+    heavy = _request("heavy", 4_000.0, 60.0, objective_s=0.5)
+    # It gains less by being on time than the heavy one is worth late.
+    second = _request(
+        "second", 1_000.0, 60.0, objective_s=1.5, cost=CallerCost(0.3, 0.75)
+    )
+    costly = _request(
+        "costly", 1_000.0, 60.0, objective_s=1.5, cost=CallerCost(5.0, 0.75)
+    )
+    fourth = _request("fourth", 1_000.0, 60.0, objective_s=1.0)
+    queue = [heavy, second, costly, fourth]
+    # What the fourth gains by being on time is more than the second is worth late.
+    assert _refused(queue) == {"heavy"}
+    # The work of the second counts once in what its refusal would free.
+    hurried = _request("hurried", 1_000.0, 0.75, cost=CallerCost(4.0, 0.75))
+    assert _refused([*queue, hurried]) == {"heavy", "hurried"}
+
+
 def test_a_burst_of_returning_callers_does_not_starve_new_ones():
     burst = _burst(200)
     new = [_request(f"new{n}", 500.0, 12.0, arrived_s=0.25 + n) for n in range(20)]
@@ -485,11 +504,16 @@
 
 def test_10_000_waiting_requests_are_decided_in_one_pass():
     calls = _heap_calls(_mixed(10_000))
-    # At worst, each request displaces none after trying the most in both heaps.
-    assert calls <= 10_000 * (4 * MAX_DISPLACED + 8)
+    assert calls <= 10_000 * MAX_HEAP_CALLS
     assert _heap_calls(_mixed(20_000)) <= 2.5 * calls
 
 
+def test_10_000_requests_of_which_half_would_displace_thousands_are_decided_likewise():
+    cheap = [_request(n, 2.0, 60.0, cost=CallerCost(0.001, 0.75)) for n in range(5_000)]
+    hurried = [_request(n, 2.0, 1.0, 1.0) for n in range(5_000, 10_000)]
+    assert _heap_calls([*cheap, *hurried]) <= 10_000 * MAX_HEAP_CALLS
+
+
 def test_a_claimed_place_is_not_honoured_at_a_peer_that_has_heard_of_it():
     here, there, third = KeptPlaces(), KeptPlaces(), KeptPlaces()
     assert here.keep("f", 5.0, 0.0)
