--- a/src/tanagerkeel/queueing/_feasibility.py
+++ b/src/tanagerkeel/queueing/_feasibility.py
@@ -150,13 +150,15 @@
     def worth(self) -> float:
         return _worth(self.request, self.is_late)
 
+    @property
+    def worth_per_ms(self) -> float:
+        return self.worth / max(self.request.work_ms, MIN_WORK_MS)
+
     @property
     def priority(self) -> tuple[float, int, float]:
         # Who is displaced first: the least worth per millisecond that it frees, then
         # the least urgent, then the newest.
-        request = self.request
-        worth_per_ms = self.worth / max(request.work_ms, MIN_WORK_MS)
-        return worth_per_ms, -request.rank, -request.arrived_s
+        return self.worth_per_ms, -self.request.rank, -self.request.arrived_s
 
 
 @attrs.define
@@ -164,13 +166,18 @@
     _entries: list[tuple[tuple[float, int, float], int, bool, _Kept]] = attrs.field(
         factory=list
     )
+    # Not in order yet: in most passes nothing has to give way.
+    _added: list[tuple[bool, _Kept]] = attrs.field(factory=list)
     _sequence: "itertools.count[int]" = attrs.field(factory=itertools.count)
 
     def push(self, kept: _Kept) -> None:
-        entry = (kept.priority, next(self._sequence), kept.is_late, kept)
-        heapq.heappush(self._entries, entry)
+        self._added.append((kept.is_late, kept))
 
     def pop(self) -> _Kept | None:
+        for was_late, kept in self._added:
+            entry = (kept.priority, next(self._sequence), was_late, kept)
+            heapq.heappush(self._entries, entry)
+        self._added.clear()
         while self._entries:
             _, _, was_late, kept = heapq.heappop(self._entries)
             if not kept.is_displaced and kept.is_late == was_late:
@@ -197,6 +204,10 @@
 
     def add(self, request: WaitingRequest) -> None:
         work_s = request.work_ms / 1_000
+        if is_feasible(self._start_s + work_s, min(request.due_s, request.give_up_s)):
+            # Whatever the margin.
+            self._keep(request, is_late=False)
+            return
         arrived_s, margin = request.arrived_s, self._margin(request, work_s)
         last_start_s, on_time_s = (
             _limit_s(latest_s, arrived_s, margin) - work_s
@@ -217,7 +228,9 @@
             is_late = False
         self._keep(request, is_late, on_time_s)
 
-    def _keep(self, request: WaitingRequest, is_late: bool, on_time_s: float) -> None:
+    def _keep(
+        self, request: WaitingRequest, is_late: bool, on_time_s: float = math.inf
+    ) -> None:
         kept = _Kept(request, self._start_s, is_late, on_time_s, self._displaced_ms)
         self._kept.push(kept)
         if is_late:
@@ -250,6 +263,9 @@
             if self._is_on_time_after_all(kept):
                 continue
             chosen.append(kept)
+            if lost + kept.worth_per_ms * (needed_ms - freed_ms) >= gain:
+                # All that follow are worth at least as much for each millisecond.
+                break
             freed_ms += kept.request.work_ms
             is_new = self._is_new(kept.request)
             lost += kept.worth * (1.0 if is_new else DISPLACEMENT_GAIN)
--- a/tests/test_turning_away.py
+++ b/tests/test_turning_away.py
@@ -431,9 +431,13 @@
     queue = [heavy, second, costly, fourth]
     # What the fourth gains by being on time is more than the second is worth late.
     assert _refused(queue) == {"heavy"}
-    # The work of the second counts once in what its refusal would free.
+    # The work of the second counts once in what its refusal would free, even if it was
+    # weighed as late before.
     hurried = _request("hurried", 1_000.0, 0.75, cost=CallerCost(4.0, 0.75))
     assert _refused([*queue, hurried]) == {"heavy", "hurried"}
+    weighs = _request("weighs", 1_000.0, 0.6, cost=CallerCost(0.01, 0.75))
+    queue.insert(3, weighs)
+    assert _refused([*queue, hurried]) == {"heavy", "weighs", "hurried"}
 
 
 def test_a_burst_of_returning_callers_does_not_starve_new_ones():
@@ -443,7 +447,8 @@
     assert replay.claimed
     assert replay.claimed <= replay.served
     served_new = sum(r.request_id in replay.served for r in new)
-    assert served_new >= 10, served_new
+    # As many as without any returns: half of the rate is enough for them.
+    assert served_new >= 18, served_new
 
 
 def test_without_ranks_only_the_last_of_a_burst_are_refused():
@@ -509,7 +514,11 @@
 
 
 def test_10_000_requests_of_which_half_would_displace_thousands_are_decided_likewise():
-    cheap = [_request(n, 2.0, 60.0, cost=CallerCost(0.001, 0.75)) for n in range(5_000)]
+    # A thousand would give way for next to nothing, but free too little.
+    cheap = [
+        _request(n, 2.0, 60.0, cost=CallerCost(1e-6 if n < 1_000 else 1.0, 0.75))
+        for n in range(5_000)
+    ]
     hurried = [_request(n, 2.0, 1.0, 1.0) for n in range(5_000, 10_000)]
     assert _heap_calls([*cheap, *hurried]) <= 10_000 * MAX_HEAP_CALLS
 
