--- a/src/tanagerkeel/admission/__init__.py
+++ b/src/tanagerkeel/admission/__init__.py
@@ -2,10 +2,10 @@
 
 from tanagerkeel.admission._admission import Admission, AdmissionRequest, Ticket
 from tanagerkeel.admission._capacity import CapacitySource, Lane, UnlimitedCapacity
-from tanagerkeel.admission._fair_queue import FairQueue, QueuedRequest
 from tanagerkeel.admission._rates import RateMeter
 from tanagerkeel.admission._retries import ModelRetryBudget
 from tanagerkeel.admission._usage import AccountUsage, UsageTracker
+from tanagerkeel.queueing import FairQueue, QueuedRequest
 
 __all__ = [
     "AccountUsage",
--- a/src/tanagerkeel/admission/_admission.py
+++ b/src/tanagerkeel/admission/_admission.py
@@ -5,11 +5,11 @@
 import attrs
 
 from tanagerkeel.admission._capacity import CapacitySource, Lane, UnlimitedCapacity
-from tanagerkeel.admission._fair_queue import FairQueue, QueuedRequest
 from tanagerkeel.admission._rates import RateMeter
 from tanagerkeel.admission._usage import AccountUsage, UsageTracker
 from tanagerkeel.clock import Clock
 from tanagerkeel.errors import Ran, ResultCode, TanagerkeelError
+from tanagerkeel.queueing import FairQueue, QueuedRequest
 from tanagerkeel.requests import LengthClass
 
 __all__ = ["Admission", "AdmissionRequest", "Ticket"]
--- a/src/tanagerkeel/queueing/__init__.py
+++ b/src/tanagerkeel/queueing/__init__.py
@@ -1,6 +1,15 @@
 """What waits for a backend server, who goes next, and who is turned away."""
 
 from tanagerkeel.queueing._caller_cost import CallerCost, CostRules, RouteCost
+from tanagerkeel.queueing._fair_queue import FairQueue, QueuedRequest
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
 
-__all__ = ["LOWEST_RANK", "CallerCost", "CostRules", "RouteCost", "WaitingRequest"]
+__all__ = [
+    "LOWEST_RANK",
+    "CallerCost",
+    "CostRules",
+    "FairQueue",
+    "QueuedRequest",
+    "RouteCost",
+    "WaitingRequest",
+]
