--- a/src/tanagerkeel/queueing/_fair_queue.py
+++ b/src/tanagerkeel/queueing/_fair_queue.py
@@ -2,48 +2,26 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 
 import attrs
 
+from tanagerkeel.queueing._account_flow import AccountFlow, Order, QueuedRequest
+from tanagerkeel.queueing._heaps import in_heap_order
+
 __all__ = ["FairQueue", "QueuedRequest"]
 
 # Heap entries, beyond two per account, at which stale entries are removed.
 HEAP_SLACK = 64
 
 
-@attrs.frozen(eq=False)
-class QueuedRequest:
-    """
-    A request in the queue.
-
-    :param account: name of the client account.
-    :param weight: the account's share of capacity relative to the other accounts.
-    :param cost_tokens: estimated prefill and decode work, in tokens.
-    :param latest_start_s: monotonic time, in seconds, after which the request can't
-        meet its deadline.
-    """
-
-    account: str
-    weight: float
-    cost_tokens: float
-    latest_start_s: float
-
-
 @attrs.define
-class _Flow:
-    weight: float = 1.0
-    start_tag: float = 0.0
-    finish_tag: float = 0.0
-    running_tokens: float = 0.0
-    running_count: int = 0
-    # By id() of the request, the oldest first.
-    waiting: dict[int, QueuedRequest] = attrs.field(factory=dict)
-
-    @property
-    def queued_tokens(self) -> float:
-        """Cost of the account's waiting requests, in tokens."""
-        return sum(w.cost_tokens for w in self.waiting.values())
+class _Preview:
+    # An account while the order of service is read ahead.
+    flow: AccountFlow
+    items: Iterator[QueuedRequest]
+    head: QueuedRequest | None
+    running_cost: float
 
 
 @attrs.define
@@ -53,19 +31,22 @@
 
     Accounts are served in proportion to their weights: the one with the lowest start
     tag goes first. Accounts whose running work exceeds their share are skipped while an
-    account within its share is waiting. Requests of one account are served first in,
-    first out.
+    account within its share is waiting. Requests of one account are served in the order
+    that is given with them; without one, first in, first out.
+
+    The cost is in the unit of the owner: the names below that say tokens are those of
+    admission, a node's queue of waiting requests counts in milliseconds.
     """
 
-    _flows: dict[str, _Flow] = attrs.field(factory=dict)
+    _flows: dict[str, AccountFlow] = attrs.field(factory=dict)
     # Finish tags of accounts that have no request waiting or running.
     _idle_finish_tags: dict[str, float] = attrs.field(factory=dict)
     # Start tag, tie-breaker and account. Stale entries are dropped when popped.
     _heap: list[tuple[float, int, str]] = attrs.field(factory=list)
     # Virtual time: the highest start tag of the requests popped so far.
     _virtual: float = 0.0
-    _running_tokens: float = 0.0
-    _queued_tokens: float = 0.0
+    _running_cost: float = 0.0
+    _queued_cost: float = 0.0
     _size: int = 0
     # Sum of the weights of all active accounts.
     _weight: float = 0.0
@@ -79,12 +60,12 @@
     @property
     def queued_tokens(self) -> float:
         """Cost of all waiting requests, in tokens."""
-        return self._queued_tokens
+        return self._queued_cost
 
     @property
     def running_tokens(self) -> float:
         """Cost of all running requests, in tokens."""
-        return self._running_tokens
+        return self._running_cost
 
     @property
     def active(self) -> Iterator[tuple[str, float]]:
@@ -99,23 +80,32 @@
         """
         self._factors = factors
 
-    def push(self, item: QueuedRequest) -> None:
-        """Add a request behind the others of its account."""
+    def push(self, item: QueuedRequest, order: Order = ()) -> None:
+        """
+        Add a request.
+
+        :param item: the request.
+        :param order: compared with those of its account; the least goes first, and the
+            one that was added first among equals.
+        """
         flow = self._flow(item)
-        flow.waiting[id(item)] = item
-        self._queued_tokens += item.cost_tokens
+        flow.push(item, order, next(self._sequence))
+        self._queued_cost += item.cost
         self._size += 1
         if len(flow.waiting) == 1:
             # An account earns no credit while it has nothing waiting.
             self._set_start_tag(item.account, flow, max(self._virtual, flow.finish_tag))
 
+    def reorder(self, item: QueuedRequest, order: Order) -> None:
+        """Change the order of a waiting request within its account."""
+        self._flows[item.account].push(item, order, next(self._sequence))
+
     def remove(self, item: QueuedRequest) -> bool:
         """Remove a waiting request; return whether it was in the queue."""
         flow = self._flows.get(item.account)
-        if flow is None or flow.waiting.pop(id(item), None) is None:
+        if flow is None or not flow.remove(item):
             return False
-        self._queued_tokens -= item.cost_tokens
-        self._size -= 1
+        self._uncount(item)
         self._remove_if_idle(item.account, flow)
         return True
 
@@ -124,21 +114,76 @@
         account = self._next_account()
         if account is None:
             return None
-        flow = self._flows[account]
-        item = next(iter(flow.waiting.values()))
-        del flow.waiting[id(item)]
-        self._queued_tokens -= item.cost_tokens
-        self._size -= 1
+        item = self._flows[account].head
+        self.take(item)
+        return item
+
+    def take(self, item: QueuedRequest) -> bool:
+        """
+        Remove a request, which need not be the next, and count it as running.
+
+        :return: whether it was in the queue.
+        """
+        flow = self._flows.get(item.account)
+        if flow is None or not flow.remove(item):
+            return False
+        self._uncount(item)
         self._virtual = max(self._virtual, flow.start_tag)
-        flow.finish_tag = flow.start_tag + item.cost_tokens / self._effective_weight(
-            account, flow
+        flow.finish_tag = flow.start_tag + item.cost / self._effective_weight(
+            item.account, flow
         )
         flow.running_count += 1
-        flow.running_tokens += item.cost_tokens
-        self._running_tokens += item.cost_tokens
+        flow.running_cost += item.cost
+        self._running_cost += item.cost
         if flow.waiting:
-            self._set_start_tag(account, flow, flow.finish_tag)
-        return item
+            self._set_start_tag(item.account, flow, flow.finish_tag)
+        return True
+
+    def in_order(
+        self, excluded: Container[QueuedRequest] = ()
+    ) -> Iterator[QueuedRequest]:
+        """
+        Yield the waiting requests as :meth:`pop` would return them, without a change.
+
+        Lazy: the first k cost O(k log n), more only while accounts above their share
+        are the only ones left. The queue must not change while it is read.
+
+        :param excluded: requests that are passed over as if they had been removed; it
+            may grow while the order is read.
+        """
+        starts = self._current_starts()
+        previews: dict[str, _Preview] = {}
+        ready = [start for start in [next(starts, None)] if start is not None]
+        # Accounts above their share, with the running work at which they no longer are.
+        skipped: list[tuple[float, tuple[float, int, str]]] = []
+        running = self._running_cost
+        numbers = itertools.count(1 << 62)
+        while ready or skipped:
+            while skipped and skipped[0][0] <= running:
+                heapq.heappush(ready, heapq.heappop(skipped)[1])
+            has_ready = bool(ready)
+            start = heapq.heappop(ready) if has_ready else _pop_earliest(skipped)
+            account = start[2]
+            preview = previews.get(account)
+            if preview is None:
+                preview = previews[account] = self._preview(account)
+                if (following := next(starts, None)) is not None:
+                    heapq.heappush(ready, following)
+            while preview.head is not None and preview.head in excluded:
+                preview.head = next(preview.items, None)
+            if preview.head is None:
+                continue
+            cost, weight = preview.head.cost, preview.flow.weight
+            excess_at = preview.running_cost * self._weight / weight - cost
+            if has_ready and excess_at > running:
+                heapq.heappush(skipped, (excess_at, start))
+                continue
+            yield preview.head
+            running += cost
+            preview.running_cost += cost
+            preview.head = next(preview.items, None)
+            finish = start[0] + cost / self._effective_weight(account, preview.flow)
+            heapq.heappush(ready, (finish, next(numbers), account))
 
     def complete(self, item: QueuedRequest, served_tokens: float) -> None:
         """
@@ -150,9 +195,9 @@
         """
         flow = self._flows[item.account]
         flow.running_count -= 1
-        flow.running_tokens -= item.cost_tokens
-        self._running_tokens -= item.cost_tokens
-        unused = max(0.0, item.cost_tokens - served_tokens)
+        flow.running_cost -= item.cost
+        self._running_cost -= item.cost
+        unused = max(0.0, item.cost - served_tokens)
         flow.finish_tag -= unused / self._effective_weight(item.account, flow)
         if flow.waiting:
             self._set_start_tag(item.account, flow, flow.finish_tag)
@@ -163,7 +208,7 @@
         return tuple(
             item
             for flow in self._flows.values()
-            for item in flow.waiting.values()
+            for _, _, item in flow.waiting.values()
             if item.latest_start_s < now
         )
 
@@ -176,13 +221,13 @@
         waiting = [flow for flow in self._flows.values() if flow.waiting]
         if not waiting:
             return None
-        flow = max(waiting, key=lambda f: f.queued_tokens / f.weight)
-        return next(reversed(flow.waiting.values()))
+        flow = max(waiting, key=lambda f: f.queued_cost / f.weight)
+        return flow.newest
 
     def backlog_tokens(self, account: str) -> float:
         """Return the cost of one account's waiting requests, in tokens."""
         flow = self._flows.get(account)
-        return flow.queued_tokens if flow is not None else 0.0
+        return flow.queued_cost if flow is not None else 0.0
 
     def share_of(self, account: str, weight: float) -> float:
         """
@@ -195,21 +240,42 @@
             return weight / self._weight
         return weight / (self._weight + weight)
 
-    def _flow(self, item: QueuedRequest) -> _Flow:
+    def _flow(self, item: QueuedRequest) -> AccountFlow:
         flow = self._flows.get(item.account)
         if flow is None:
             finish = self._idle_finish_tags.pop(item.account, 0.0)
-            flow = self._flows[item.account] = _Flow(item.weight, finish_tag=finish)
+            flow = self._flows[item.account] = AccountFlow(
+                item.weight, finish_tag=finish
+            )
             self._weight += item.weight
         elif flow.weight != item.weight:
             self._weight += item.weight - flow.weight
             flow.weight = item.weight
         return flow
 
-    def _effective_weight(self, account: str, flow: _Flow) -> float:
+    def _uncount(self, item: QueuedRequest) -> None:
+        self._size -= 1
+        self._queued_cost = self._queued_cost - item.cost if self._size else 0.0
+
+    def _preview(self, account: str) -> _Preview:
+        flow = self._flows[account]
+        items = flow.in_order()
+        return _Preview(flow, items, next(items, None), flow.running_cost)
+
+    def _current_starts(self) -> Iterator[tuple[float, int, str]]:
+        # An account whose start tag was set twice to the same time has two entries.
+        seen = set()
+        for entry in in_heap_order(self._heap):
+            flow = self._flows.get(entry[2])
+            is_current = flow and flow.waiting and flow.start_tag == entry[0]
+            if is_current and entry[2] not in seen:
+                seen.add(entry[2])
+                yield entry
+
+    def _effective_weight(self, account: str, flow: AccountFlow) -> float:
         return flow.weight * self._factors.get(account, 1.0)
 
-    def _set_start_tag(self, account: str, flow: _Flow, start: float) -> None:
+    def _set_start_tag(self, account: str, flow: AccountFlow, start: float) -> None:
         flow.start_tag = start
         if len(self._heap) > HEAP_SLACK + 2 * len(self._flows):
             self._compact()
@@ -242,12 +308,11 @@
             heapq.heappush(self._heap, entry)
         return chosen[2] if chosen is not None else None
 
-    def _exceeds_share(self, flow: _Flow) -> bool:
-        cost = next(iter(flow.waiting.values())).cost_tokens
-        due = flow.weight / self._weight * (self._running_tokens + cost)
-        return flow.running_tokens > due
+    def _exceeds_share(self, flow: AccountFlow) -> bool:
+        excess_at = flow.running_cost * self._weight / flow.weight - flow.head.cost
+        return excess_at > self._running_cost
 
-    def _remove_if_idle(self, account: str, flow: _Flow) -> None:
+    def _remove_if_idle(self, account: str, flow: AccountFlow) -> None:
         # Rounding keeps token sums from returning to exactly 0, hence the counts.
         if flow.waiting or flow.running_count:
             return
@@ -269,4 +334,13 @@
         # Once the queue is empty and nothing runs, no history needs to be kept.
         self._idle_finish_tags.clear()
         self._heap.clear()
-        self._virtual = self._running_tokens = self._queued_tokens = self._weight = 0.0
+        self._virtual = self._running_cost = self._queued_cost = self._weight = 0.0
+
+
+def _pop_earliest(
+    skipped: list[tuple[float, tuple[float, int, str]]],
+) -> tuple[float, int, str]:
+    position = min(range(len(skipped)), key=lambda i: skipped[i][1])
+    _, start = skipped.pop(position)
+    heapq.heapify(skipped)
+    return start
