--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -9,9 +9,8 @@
 import tracemalloc
 from collections.abc import Callable, Iterator
 
-from tanagerkeel.queueing import CallerCost, WaitingQueue, WaitingRequest
-
 from bench._tables import Table
+from tanagerkeel.queueing import CallerCost, WaitingQueue, WaitingRequest
 
 WAITING = (10, 1_000, 10_000)
 ACCOUNTS = (24, 940)
@@ -75,10 +74,10 @@
         "bytes a request",
     )
     table = Table("Queue of waiting requests, median in us", columns)
+    now = SPREAD_S
     for count, accounts in itertools.product(WAITING, ACCOUNTS):
         requests = list(_requests(count, accounts, seed))
         queue = _queue(requests)
-        now = SPREAD_S
         more = iter(list(_requests(4 * REPEATS, accounts, seed + 1)))
         asked = WaitingRequest(
             "asked", "a0", 0, CallerCost(1.0, 0.75), 100.0, now, now + 1.0, now + 4.0
--- a/src/tanagerkeel/queueing/_account_flow.py
+++ b/src/tanagerkeel/queueing/_account_flow.py
@@ -75,8 +75,7 @@
     @property
     def head(self) -> QueuedRequest:
         """The waiting request that goes first."""
-        while not self._is_current(self._heap[0]):
-            heapq.heappop(self._heap)
+        self._drop_stale()
         return self._heap[0][2]
 
     def push(self, item: QueuedRequest, order: Order, number: int) -> None:
@@ -101,12 +100,17 @@
 
     def in_order(self) -> Iterator[QueuedRequest]:
         """Yield the waiting requests in order, without a change."""
+        self._drop_stale()
         current = filter(self._is_current, in_heap_order(self._heap))
         return (item for _, _, item in current)
 
     def _is_current(self, place: _Place) -> bool:
         return self.waiting.get(id(place[2])) is place
 
+    def _drop_stale(self) -> None:
+        while self._heap and not self._is_current(self._heap[0]):
+            heapq.heappop(self._heap)
+
     def _compact(self) -> None:
         if len(self._heap) > STALE_SLACK + 2 * len(self.waiting):
             self._heap = list(self.waiting.values())
--- a/src/tanagerkeel/queueing/_fair_queue.py
+++ b/src/tanagerkeel/queueing/_fair_queue.py
@@ -8,6 +8,7 @@
 
 from tanagerkeel.queueing._account_flow import AccountFlow, Order, QueuedRequest
 from tanagerkeel.queueing._heaps import in_heap_order
+from tanagerkeel.queueing._service_order import Start, service_order
 
 __all__ = ["FairQueue", "QueuedRequest"]
 
@@ -15,15 +16,6 @@
 HEAP_SLACK = 64
 
 
-@attrs.define
-class _Preview:
-    # An account while the order of service is read ahead.
-    flow: AccountFlow
-    items: Iterator[QueuedRequest]
-    head: QueuedRequest | None
-    running_cost: float
-
-
 @attrs.define
 class FairQueue:
     """
@@ -42,7 +34,7 @@
     # Finish tags of accounts that have no request waiting or running.
     _idle_finish_tags: dict[str, float] = attrs.field(factory=dict)
     # Start tag, tie-breaker and account. Stale entries are dropped when popped.
-    _heap: list[tuple[float, int, str]] = attrs.field(factory=list)
+    _heap: list[Start] = attrs.field(factory=list)
     # Virtual time: the highest start tag of the requests popped so far.
     _virtual: float = 0.0
     _running_cost: float = 0.0
@@ -145,45 +137,22 @@
         """
         Yield the waiting requests as :meth:`pop` would return them, without a change.
 
-        Lazy: the first k cost O(k log n), more only while accounts above their share
-        are the only ones left. The queue must not change while it is read.
+        Lazy: the first k cost O(k log n). The queue must not change while it is read.
 
         :param excluded: requests that are passed over as if they had been removed; it
             may grow while the order is read.
         """
-        starts = self._current_starts()
-        previews: dict[str, _Preview] = {}
-        ready = [start for start in [next(starts, None)] if start is not None]
-        # Accounts above their share, with the running work at which they no longer are.
-        skipped: list[tuple[float, tuple[float, int, str]]] = []
-        running = self._running_cost
-        numbers = itertools.count(1 << 62)
-        while ready or skipped:
-            while skipped and skipped[0][0] <= running:
-                heapq.heappush(ready, heapq.heappop(skipped)[1])
-            has_ready = bool(ready)
-            start = heapq.heappop(ready) if has_ready else _pop_earliest(skipped)
-            account = start[2]
-            preview = previews.get(account)
-            if preview is None:
-                preview = previews[account] = self._preview(account)
-                if (following := next(starts, None)) is not None:
-                    heapq.heappush(ready, following)
-            while preview.head is not None and preview.head in excluded:
-                preview.head = next(preview.items, None)
-            if preview.head is None:
-                continue
-            cost, weight = preview.head.cost, preview.flow.weight
-            excess_at = preview.running_cost * self._weight / weight - cost
-            if has_ready and excess_at > running:
-                heapq.heappush(skipped, (excess_at, start))
-                continue
-            yield preview.head
-            running += cost
-            preview.running_cost += cost
-            preview.head = next(preview.items, None)
-            finish = start[0] + cost / self._effective_weight(account, preview.flow)
-            heapq.heappush(ready, (finish, next(numbers), account))
+        # Stale entries at the front would be read again each time.
+        while self._heap and not self._is_current(self._heap[0]):
+            heapq.heappop(self._heap)
+        return service_order(
+            self._current_starts(),
+            self._flows,
+            self._effective_weight,
+            self._weight,
+            self._running_cost,
+            excluded,
+        )
 
     def complete(self, item: QueuedRequest, served_tokens: float) -> None:
         """
@@ -257,21 +226,18 @@
         self._size -= 1
         self._queued_cost = self._queued_cost - item.cost if self._size else 0.0
 
-    def _preview(self, account: str) -> _Preview:
-        flow = self._flows[account]
-        items = flow.in_order()
-        return _Preview(flow, items, next(items, None), flow.running_cost)
-
-    def _current_starts(self) -> Iterator[tuple[float, int, str]]:
+    def _current_starts(self) -> Iterator[Start]:
         # An account whose start tag was set twice to the same time has two entries.
         seen = set()
         for entry in in_heap_order(self._heap):
-            flow = self._flows.get(entry[2])
-            is_current = flow and flow.waiting and flow.start_tag == entry[0]
-            if is_current and entry[2] not in seen:
+            if self._is_current(entry) and entry[2] not in seen:
                 seen.add(entry[2])
                 yield entry
 
+    def _is_current(self, start: Start) -> bool:
+        flow = self._flows.get(start[2])
+        return bool(flow and flow.waiting and flow.start_tag == start[0])
+
     def _effective_weight(self, account: str, flow: AccountFlow) -> float:
         return flow.weight * self._factors.get(account, 1.0)
 
@@ -295,10 +261,9 @@
         chosen = None
         while self._heap and chosen is None:
             entry = heapq.heappop(self._heap)
-            flow = self._flows.get(entry[2])
-            if flow is None or not flow.waiting or flow.start_tag != entry[0]:
+            if not self._is_current(entry):
                 continue
-            if self._exceeds_share(flow):
+            if self._exceeds_share(self._flows[entry[2]]):
                 skipped.append(entry)
             else:
                 chosen = entry
@@ -335,12 +300,3 @@
         self._idle_finish_tags.clear()
         self._heap.clear()
         self._virtual = self._running_cost = self._queued_cost = self._weight = 0.0
-
-
-def _pop_earliest(
-    skipped: list[tuple[float, tuple[float, int, str]]],
-) -> tuple[float, int, str]:
-    position = min(range(len(skipped)), key=lambda i: skipped[i][1])
-    _, start = skipped.pop(position)
-    heapq.heapify(skipped)
-    return start
--- a/src/tanagerkeel/queueing/_waiting_queue.py
+++ b/src/tanagerkeel/queueing/_waiting_queue.py
@@ -80,17 +80,19 @@
     What waits at one node for one service.
 
     The order is that of the effective rank (see :func:`standing`), then those whose
-    callers came back as told, then fair between accounts, then within the account:
-    near its latest start, by loss per work; else the earliest latest start; then those
-    that are late, whose caller gives up first.
+    callers came back as told, then fair between accounts. Within an account, those
+    that can still meet their objective go first: by loss per work in coarse steps, then
+    by the latest start; late ones follow, by when their callers give up.
 
     A late request never goes before one of a more urgent rank, except in turns that
-    have a reserved share of the work. Bound: while W is the work of the largest request
-    of each account and rank that is passed over, summed, the oldest request of each of
-    them starts before W / ``RESERVED_SHARE`` of work was taken. Each is passed over
-    from ``PROMOTION_SHARE`` of its caller's patience on, at rank 0 only if it is late.
-
-    Push, remove and take cost O(log n); each request moves 12 times at most. The clock
+    have a reserved share of the work. Bound: while K pairs of account and rank, of
+    equal weights, are passed over and their largest request is M of work, the oldest of
+    each starts before 2 K M / ``RESERVED_SHARE`` of work was taken. Requests are
+    passed over from ``PROMOTION_SHARE`` of their callers' patience on, at rank 0 only
+    if late. A promoted request that isn't late is equal to new ones of the rank that it
+    has reached.
+
+    Push, remove and take cost O(log n); each request moves 11 times at most. The clock
     never goes back from call to call. Not thread-safe.
     """
 
