--- a/tests/test_waiting_queue.py
+++ b/tests/test_waiting_queue.py
@@ -246,6 +246,60 @@
     assert sum(r.work_ms for r in late) <= RESERVED_SHARE * work + 2_000
 
 
+def test_each_quarter_of_the_patience_counts_as_one_rank_until_a_request_is_late():
+    request = _request(3, objective=2.5, patience=4.0)
+    queue = _queue(request)
+    times = (0.0, 0.99, 1.0, 1.99, 2.0, 2.4, 2.41, 3.9)
+    ranks = [queue.backlog(now)[0].rank for now in times]
+    assert ranks == [3, 3, 2, 2, 1, 1, 3, 3]
+    old = _request(1, arrived=0.0, objective=3.0, patience=4.0)
+    fresh = _request(0, arrived=1.0, objective=3.0, patience=4.0)
+    queue = _queue(old, now=0.0)
+    # No turn is due, so that only the promotion counts.
+    passed = _request(0, arrived=0.0, work=500.0, objective=0.1, patience=1.0)
+    queue.push(passed, 0.5)
+    queue.take(passed, 0.5)
+    queue.push(fresh, 0.99)
+    assert list(queue.in_order(0.99)) == [fresh, old]
+    assert list(queue.in_order(1.0)) == [old, fresh]
+
+
+def test_a_request_is_queued_once_and_what_does_not_wait_is_not_taken():
+    request = _request()
+    queue = _queue(request)
+    for refused in (lambda: queue.push(request, 0.0), lambda: queue.complete(request)):
+        try:
+            refused()
+        except (KeyError, ValueError):
+            continue
+        raise AssertionError("accepted")
+    queue.take(request, 0.0)
+    assert request not in queue and queue.running == 1
+    assert not queue.remove(request)
+    queue.complete(request)
+    assert queue.running == 0
+
+
+def test_memory_of_requests_that_come_and_go_is_bounded_by_those_that_wait():
+    queue = _queue(*(_request(objective=1e6, patience=1e7) for _ in range(10)))
+    for number in range(3_000):
+        now = number / 1_000
+        request = _request(number % 3, arrived=now, account=f"a{number % 7}")
+        queue.push(request, now)
+        if number % 2:
+            queue.take(request, now)
+            queue.complete(request)
+        else:
+            assert queue.remove(request)
+    assert len(queue) == 10
+    assert len(queue._changes) <= 64 + 2 * 11 + 1
+    for level in queue._levels.values():
+        assert len(level.due) <= 64 + 2 * 11 + 1
+        assert len(level.queue._heap) <= 64 + 2 * 8 + 1
+        flows = level.queue._flows.values()
+        assert all(len(flow._heap) <= 8 + 2 * 11 + 1 for flow in flows)
+
+
 def test_late_promoted_requests_do_not_go_before_fresh_ones_of_the_highest_rank():
     late = [_request(3, arrived=0.0, account=f"l{n}") for n in range(20)]
     queue = _queue(*late, now=0.0)
