--- a/src/tanagerkeel/admission/_admission.py
+++ b/src/tanagerkeel/admission/_admission.py
@@ -5,11 +5,17 @@
 import attrs
 
 from tanagerkeel.admission._capacity import CapacitySource, Lane, UnlimitedCapacity
-from tanagerkeel.admission._fair_queue import FairQueue, QueuedRequest
 from tanagerkeel.admission._usage import AccountUsage, UsageTracker
 from tanagerkeel.clock import Clock
 from tanagerkeel.errors import Ran, ResultCode, TanagerkeelError
-from tanagerkeel.queueing import DrainRate, bounded_s, expected_wait_s, is_feasible
+from tanagerkeel.queueing import (
+    DrainRate,
+    FairQueue,
+    QueuedRequest,
+    bounded_s,
+    expected_wait_s,
+    is_feasible,
+)
 from tanagerkeel.requests import LengthClass
 
 __all__ = ["Admission", "AdmissionRequest", "Ticket"]
--- a/src/tanagerkeel/queueing/__init__.py
+++ b/src/tanagerkeel/queueing/__init__.py
@@ -1,7 +1,9 @@
 """What waits for a backend server, who goes next, and who is turned away."""
 
+from tanagerkeel.queueing._account_flow import QueuedRequest
 from tanagerkeel.queueing._caller_cost import CallerCost, CostRules, RouteCost
 from tanagerkeel.queueing._drain_rate import DrainRate, RateMeter
+from tanagerkeel.queueing._fair_queue import FairQueue
 from tanagerkeel.queueing._feasibility import (
     Rejection,
     RejectionReason,
@@ -20,6 +22,7 @@
     should_yield,
 )
 from tanagerkeel.queueing._return_time import bounded_s, retry_after_s
+from tanagerkeel.queueing._waiting_queue import RankBacklog, WaitingQueue, WorkAhead
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
 from tanagerkeel.queueing._yield_times import YieldTimes
 
@@ -29,17 +32,22 @@
     "CallerCost",
     "CostRules",
     "DrainRate",
+    "FairQueue",
     "KeptPlace",
     "KeptPlaces",
     "LOWEST_RANK",
     "MAX_BACKLOGS",
     "PeerBacklogs",
+    "QueuedRequest",
+    "RankBacklog",
     "RankedWork",
     "RateMeter",
     "Rejection",
     "RejectionReason",
     "RouteCost",
+    "WaitingQueue",
     "WaitingRequest",
+    "WorkAhead",
     "YieldTimes",
     "backlog_reports",
     "bounded_s",
