--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -37,7 +37,11 @@
     step_ms,
 )
 from tanagerkeel.relay._peer_choice import PeerCandidate, choose_peer
-from tanagerkeel.relay._placement import RelayPlacement, choose_placement
+from tanagerkeel.relay._placement import (
+    RelayPlacement,
+    choose_placement,
+    free_places,
+)
 from tanagerkeel.relay._ranks import Rank
 from tanagerkeel.relay._rate_limit import (
     RateLimitTable,
@@ -131,6 +135,7 @@
     "choose_placement",
     "decode_ms",
     "estimate",
+    "free_places",
     "longest_pass_ms",
     "expected_pause_ms",
     "prefill_ms",
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -35,7 +35,7 @@
 )
 from tanagerkeel.relay._pass_model import prefill_ms
 
-__all__ = ["RelayPlacement", "choose_placement"]
+__all__ = ["RelayPlacement", "choose_placement", "free_places"]
 
 # Requests that a backend server may be given beyond its slots. It starts the next one
 # itself, sooner than a node would be notified of a free slot.
@@ -105,11 +105,11 @@
     return xxhash.xxh32_intdigest(f"{backend_id}{salt}".encode())
 
 
-def has_room(candidate: Candidate) -> bool:
-    """Return whether a candidate may be given one more request."""
-    if candidate.profile is None:
-        return len(candidate.assignments) < candidate.server.slots + QUEUE_AHEAD
-    return len(candidate.assignments) < candidate.profile.slots + QUEUE_AHEAD
+def free_places(candidate: Candidate) -> int:
+    """Return how many more requests a candidate may be given."""
+    profile = candidate.profile
+    slots = candidate.server.slots if profile is None else profile.slots
+    return max(0, slots + QUEUE_AHEAD - len(candidate.assignments))
 
 
 def choose_placement(
@@ -126,7 +126,7 @@
     :param now: monotonic time, in seconds.
     :param salt: differs between requests, and orders the candidates of a group.
     """
-    open_candidates = [c for c in candidates if has_room(c)]
+    open_candidates = [c for c in candidates if free_places(c)]
     own_domain = sum(c.same_domain for c in open_candidates)
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
     domain_first = long_prompt and own_domain >= MIN_DOMAIN_ENGINES
--- a/src/tanagerkeel/relay_entry/_fleet_beliefs.py
+++ b/src/tanagerkeel/relay_entry/_fleet_beliefs.py
@@ -6,6 +6,8 @@
 
 from tanagerkeel.queueing import (
     BacklogReport,
+    KeptPlace,
+    KeptPlaces,
     PeerBacklogs,
     RankedWork,
     backlog_reports,
@@ -32,6 +34,7 @@
     :param own_backlog: what waits at this node for a place.
     :param backlogs: what waits at the peers of this failure domain.
     :param slow: measurements of backend servers, of this node and its peers.
+    :param kept_places: places kept for callers that any node refused.
     """
 
     _node: str
@@ -39,6 +42,7 @@
     own_backlog: OwnBacklog = _no_backlog
     backlogs: PeerBacklogs = attrs.field()
     slow: SlowReports = attrs.field(factory=SlowReports)
+    kept_places: KeptPlaces = attrs.field(factory=KeptPlaces)
     # Services and ranks of the backlog in the last update.
     _told: frozenset[tuple[str, int]] = frozenset()
     # Whether that update said that one of them ended.
@@ -83,6 +87,7 @@
         node: str,
         backlogs: Iterable[BacklogReport],
         slow_servers: Iterable[SlowReport],
+        kept_places: Iterable[KeptPlace],
         now: float,
     ) -> None:
         """
@@ -91,11 +96,13 @@
         :param node: the peer's id.
         :param backlogs: what waits there and could take a place here.
         :param slow_servers: what it measured.
+        :param kept_places: places that it keeps, or that were claimed there.
         :param now: monotonic time, in seconds.
         """
         if self.enabled:
             self.backlogs.merge(node, backlogs, now)
             self.slow.merge(node, slow_servers, now)
+            self.kept_places.merge(kept_places, now)
 
     def remove_peer(self, node: str) -> None:
         """Remove a peer that is gone, with all that it told."""
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -43,6 +43,8 @@
     :param mishaps: failed sends, by the kind of failure.
     :param repeats: sends beyond each request's first.
     :param forwarded: requests forwarded to peers, by how that ended.
+    :param turned_away: waiting requests that were refused, by reason.
+    :param waiting: requests that wait in order for a backend server.
     :param held_off: backend servers that asked to be sent nothing for a time.
     :param leaving: backend servers that announced in a response that they leave.
     :param missing: backend servers that are kept although their entry is missing.
@@ -62,6 +64,8 @@
     mishaps: prometheus_client.Counter = attrs.field(init=False)
     repeats: prometheus_client.Counter = attrs.field(init=False)
     forwarded: prometheus_client.Counter = attrs.field(init=False)
+    turned_away: prometheus_client.Counter = attrs.field(init=False)
+    waiting: prometheus_client.Gauge = attrs.field(init=False)
     held_off: prometheus_client.Gauge = attrs.field(init=False)
     leaving: prometheus_client.Gauge = attrs.field(init=False)
     missing: prometheus_client.Gauge = attrs.field(init=False)
@@ -93,6 +97,15 @@
         self.forwarded = _counter(
             "forwarded", "Requests forwarded to peers", ("result",), registry
         )
+        self.turned_away = _counter(
+            "turned_away", "Waiting requests that were refused", ("reason",), registry
+        )
+        self.waiting = prometheus_client.Gauge(
+            "tanagerkeel_relay_waiting",
+            "Requests that wait in order for a backend server",
+            ("rank",),
+            registry=registry,
+        )
         self.held_off = prometheus_client.Gauge(
             "tanagerkeel_relay_held_off",
             "Backend servers that asked to be sent nothing for a time",
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -24,7 +24,7 @@
     verify_frame,
 )
 from tanagerkeel.quarantine import QuarantineEntry
-from tanagerkeel.queueing import BacklogReport
+from tanagerkeel.queueing import BacklogReport, KeptPlace
 from tanagerkeel.relay import (
     LONG_PROMPT_TOKENS,
     PEER_TIMEOUT_S,
@@ -142,6 +142,8 @@
     backlogs: tuple[BacklogReport, ...] = ()
     # Backend servers that the sender or a peer found slow, as the sender measured them.
     slow_servers: tuple[SlowReport, ...] = ()
+    # Places that the sender keeps for callers that it refused.
+    kept_places: tuple[KeptPlace, ...] = ()
 
 
 def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
@@ -377,7 +379,9 @@
             for report in update.backlogs
             if near and report.service not in update.unreachable_services
         )
-        self._state.fleet_beliefs.merge(sender, backlogs, update.slow_servers, now)
+        self._state.fleet_beliefs.merge(
+            sender, backlogs, update.slow_servers, update.kept_places, now
+        )
 
     def _merge_section_evidence(
         self, frame: Frame, update: _PeerUpdate, now: float
@@ -479,10 +483,16 @@
         )
         beliefs = self._state.fleet_beliefs
         backlogs, slow_servers = beliefs.take_backlogs(now), beliefs.slow_reports(now)
-        if not backlogs and not slow_servers:
+        kept_places = beliefs.kept_places.reports(now)
+        if not backlogs and not slow_servers and not kept_places:
             return update
         fields = attrs.asdict(update, recurse=False)
-        return _QueueingUpdate(**fields, backlogs=backlogs, slow_servers=slow_servers)
+        return _QueueingUpdate(
+            **fields,
+            backlogs=backlogs,
+            slow_servers=slow_servers,
+            kept_places=kept_places,
+        )
 
     def _transmit_update(
         self,
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -1,7 +1,7 @@
 """Chooses a backend server for a request, waits for one, or refuses the request."""
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -13,20 +13,21 @@
     Demand,
     RelayPlacement,
     choose_placement,
+    free_places,
     should_defer,
 )
 from tanagerkeel.relay_entry._admit import CAPACITY_RETRY_S, OTHER_NODE_RETRY_S, Refusal
 from tanagerkeel.relay_entry._metrics import RelayMetrics
+from tanagerkeel.relay_entry._ordered_placement import (
+    RECHECK_INTERVAL_S,
+    OrderedPlacement,
+    PlacementRules,
+)
 from tanagerkeel.relay_entry._run import RelayRun
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["OutOfReach", "RelayPlacer"]
 
-# Interval at which placement of a waiting request is repeated without a change of
-# state, in seconds: estimates, limits on cold starts and exclusions also change with
-# time alone.
-RECHECK_INTERVAL_S = 0.05
-
 
 @attrs.frozen
 class OutOfReach:
@@ -46,13 +47,43 @@
 
     :param state: configuration, backend servers, peers and running work.
     :param metrics: counters and histograms.
+    :param on_backlog_changed: called when a request whose service has an order has
+        begun or ceased to wait.
     """
 
     _state: RelayState
     _metrics: RelayMetrics
+    _on_backlog_changed: Callable[[], None]
     # Requests that wait although no backend server may be sent one now, by service, in
     # the order of their arrival.
     _queues: dict[str, dict[str, None]] = attrs.field(factory=dict)
+    _ordered: OrderedPlacement = attrs.field()
+
+    @_ordered.default
+    def _make_ordered(self) -> OrderedPlacement:
+        rules = PlacementRules(
+            self._refusal_without_placement,
+            self._choose,
+            self._should_wait,
+            self._refusal_if_unplaceable,
+            self._free_places,
+            self._record_placed,
+        )
+        return OrderedPlacement(
+            self._state, self._metrics, rules, self._on_backlog_changed
+        )
+
+    def release(self, run: RelayRun) -> None:
+        """Record that a request has ended."""
+        self._ordered.release(run)
+
+    def _is_ordered(self, run: RelayRun) -> bool:
+        """Return whether the request waits in the order of its service."""
+        if run.events:
+            # An answer that has begun goes on before any other request.
+            return False
+        every_service = self._state.settings.queueing.every_service
+        return run.admitted.rank is not None or every_service
 
     async def place(self, run: RelayRun) -> RelayPlacement | Refusal | OutOfReach:
         """
@@ -60,6 +91,11 @@
 
         :raises TimeoutError: when the request's deadline has passed.
         """
+        ordered = self._is_ordered(run)
+        if ordered or self._many_senders(run):
+            self._state.fleet_beliefs.enabled = True
+        if ordered:
+            return await self._ordered.place(run)
         queue = self._queues.setdefault(run.admitted.service.name, {})
         try:
             return await self._place(run, queue)
@@ -176,6 +212,10 @@
             candidates, demand, now, run.request.request_id
         )
 
+    def _free_places(self, run: RelayRun, now: float) -> int:
+        """Return how many requests the candidates have room for."""
+        return sum(map(free_places, self._candidates(run, now)))
+
     def _should_wait(
         self, run: RelayRun, placement: RelayPlacement, now: float
     ) -> bool:
@@ -188,6 +228,20 @@
     def _refusal_if_hopeless(
         self, run: RelayRun, candidates: int, now: float
     ) -> Refusal | None:
+        """Return why a request without a placement is refused, if it is."""
+        refusal = self._refusal_if_unplaceable(run, candidates, now)
+        if refusal is not None or not candidates:
+            return refusal
+        if now > run.objective_due_s and not run.reply.started:
+            service = run.admitted.service.name
+            reason = f"all {candidates} backend servers of {service} are at capacity"
+            return Refusal(ResultCode.OVERLOADED, reason, CAPACITY_RETRY_S)
+        return None
+
+    def _refusal_if_unplaceable(
+        self, run: RelayRun, candidates: int, now: float
+    ) -> Refusal | None:
+        """Return why no backend server could begin the request in time, if so."""
         service = run.admitted.service.name
         if not candidates and not run.reply.started:
             return_s = self._next_return_s(run, now)
@@ -205,9 +259,6 @@
         if not run.reply.started and not self._feasible_when_idle(run, now):
             reason = f"none of {candidates} backend servers would begin in time if idle"
             return Refusal(ResultCode.OVERLOADED, reason, CAPACITY_RETRY_S)
-        if now > run.objective_due_s and not run.reply.started:
-            reason = f"all {candidates} backend servers of {service} are at capacity"
-            return Refusal(ResultCode.OVERLOADED, reason, CAPACITY_RETRY_S)
         return None
 
     def _feasible_when_idle(self, run: RelayRun, now: float) -> bool:
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -76,7 +76,9 @@
 
     @_placer.default
     def _make_placer(self) -> RelayPlacer:
-        return RelayPlacer(self._state, self._metrics)
+        return RelayPlacer(
+            self._state, self._metrics, self._peer_updates.notify_backlog_changed
+        )
 
     @_sender.default
     def _make_sender(self) -> Sender:
@@ -180,6 +182,8 @@
             await self._send_until_answered(run)
         except TimeoutError:
             await self._give_up(run, run.timeout_code(), "deadline passed")
+        finally:
+            self._placer.release(run)
 
     async def _wait_for_configuration(self) -> None:
         """Wait for the first configuration; the caller may have no retry left."""
--- /dev/null
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -0,0 +1,229 @@
+"""
+What waits at this node for one service: whose turn it is, and who is refused.
+
+Each waiting request has a task of its own, and one task of the line wakes them: one
+after the other, in the order of the queue, and only as many as a change may serve. The
+next one is woken when the one before it has tried, so that it sees what that one took.
+"""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from tanagerkeel.queueing import (
+    DrainRate,
+    KeptPlaces,
+    Rejection,
+    WaitingQueue,
+    WaitingRequest,
+    WorkAhead,
+    YieldTimes,
+    choose_rejections,
+    retry_after_s,
+)
+
+__all__ = ["TurnedAway", "WaitingLine", "WaitingPlace"]
+
+# Requests in a row that may try in vain after a change: those behind them need at least
+# as much, or are less urgent. The next change begins with the first one again.
+MAX_VAIN_TRIES = 4
+# Requests that are woken after one change at most; the next change begins anew.
+MAX_WOKEN = 32
+# Time for which a place is kept after the caller was told to return, in seconds.
+KEPT_FOR_S = 1.0
+
+
+@attrs.frozen
+class TurnedAway:
+    """
+    Why a waiting request is refused, and when its caller should return.
+
+    :param rejection: the decision.
+    :param ahead: what would have been served before it.
+    :param retry_after_s: time after which its caller should return, in seconds; None if
+        no retry helps.
+    """
+
+    rejection: Rejection
+    ahead: WorkAhead
+    retry_after_s: float | None
+
+
+@attrs.define(eq=False)
+class WaitingPlace:
+    """
+    One request's place in a line.
+
+    :param request: the request.
+    :param fingerprint: by which its caller is recognized when it comes back.
+    :param turned_away: set when the request is refused.
+    :param yield_times: for how long it has left free places to other nodes' requests.
+    :param logged: whether it is in the log that the request waits.
+    """
+
+    request: WaitingRequest
+    fingerprint: str
+    turned_away: TurnedAway | None = None
+    yield_times: YieldTimes = attrs.field(factory=YieldTimes)
+    logged: bool = False
+    _has_turn: bool = False
+    _turn: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _tried: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _took: bool = False
+
+    def may_try(self, queue: WaitingQueue, now: float) -> bool:
+        """Return whether it is the request's turn: it was woken, or goes first."""
+        return self._has_turn or next(queue.in_order(now), None) is self.request
+
+    async def wait_turn(self) -> None:
+        """Wait until the request may try again, or is turned away."""
+        self._has_turn = False
+        self._turn.clear()
+        self._tried.set()
+        await self._turn.wait()
+
+    async def give_turn(self) -> bool:
+        """Let the request try; return whether it took a backend server."""
+        self._tried.clear()
+        self._has_turn = True
+        self._turn.set()
+        await self._tried.wait()
+        return self._took
+
+    def turn_away(self, decision: TurnedAway) -> None:
+        """Refuse the request."""
+        self.turned_away = decision
+        self._turn.set()
+
+    def end(self, took: bool) -> None:
+        """Record that the request no longer waits."""
+        self._took = took
+        self._tried.set()
+
+
+@attrs.define
+class WaitingLine:
+    """
+    The requests of one service that wait at this node.
+
+    :param clock: returns the monotonic time, in seconds.
+    :param wait_for_change: waits until something may have changed for a request.
+    :param kept_places: places kept for callers that were told when to return.
+    :param random: spreads the times at which refused callers return.
+    :param on_changed: called when a request has begun or ceased to wait.
+    """
+
+    _clock: Callable[[], float]
+    _wait_for_change: Callable[[], Awaitable[None]]
+    _kept_places: KeptPlaces
+    _random: random.Random
+    _on_changed: Callable[[], None]
+    queue: WaitingQueue = attrs.field(factory=WaitingQueue)
+    _rate: DrainRate = attrs.field(factory=DrainRate)
+    _places: dict[WaitingRequest, WaitingPlace] = attrs.field(factory=dict)
+    _task: asyncio.Task | None = None
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def work_ms_per_s(self) -> float:
+        """Return the work that the line gets done a second; 0 while it is unknown."""
+        return self._rate.per_s(self._clock())
+
+    def join(self, request: WaitingRequest, fingerprint: str) -> WaitingPlace:
+        """Add a request; it may try at once if nothing else waits."""
+        now = self._clock()
+        if not self._places:
+            self._rate.record_backlog(now)
+        place = WaitingPlace(request, fingerprint)
+        self.queue.push(request, now)
+        self._places[request] = place
+        if self._task is None and len(self._places) > 1:
+            self._start()
+        self._turn_away(now)
+        return place
+
+    def start_waiting(self) -> None:
+        """Wake requests from now on; called when the first one can't be placed."""
+        if self._task is None:
+            self._start()
+            self._on_changed()
+
+    def take(self, place: WaitingPlace) -> None:
+        """Record that a request got a backend server."""
+        now = self._clock()
+        del self._places[place.request]
+        self.queue.take(place.request, now)
+        self._rate.record_started(place.request.work_ms, now, len(self._places))
+        place.end(took=True)
+        self._on_changed()
+
+    def leave(self, place: WaitingPlace) -> None:
+        """Remove a request that got none; one that isn't waiting is ignored."""
+        if self._places.pop(place.request, None) is None:
+            return
+        self.queue.remove(place.request)
+        place.end(took=False)
+        self._on_changed()
+
+    def complete(self, place: WaitingPlace) -> None:
+        """Record that a request that got a backend server has ended."""
+        self.queue.complete(place.request)
+
+    def _start(self) -> None:
+        self._task = asyncio.create_task(self._wake_until_empty())
+
+    async def _wake_until_empty(self) -> None:
+        try:
+            while self._places:
+                self._turn_away(self._clock())
+                await self._wake_in_order()
+                await self._wait_for_change()
+        finally:
+            self._task = None
+
+    async def _wake_in_order(self) -> None:
+        vain = 0
+        # A copy: the queue changes while requests try.
+        order = tuple(itertools.islice(self.queue.in_order(self._clock()), MAX_WOKEN))
+        for request in order:
+            place = self._places.get(request)
+            if place is None or place.turned_away is not None:
+                continue
+            if not await place.give_turn():
+                vain += 1
+            if vain >= MAX_VAIN_TRIES:
+                return
+
+    def _turn_away(self, now: float) -> None:
+        per_s = self._rate.per_s(now)
+        rejections = choose_rejections(self.queue.in_order(now), per_s, now)
+        if not rejections:
+            return
+        refused_ms = sum(r.request.work_ms for r in rejections)
+        for rejection in rejections:
+            place = self._places.get(rejection.request)
+            if place is not None and place.turned_away is None:
+                place.turn_away(self._decide(place, rejection, refused_ms, per_s, now))
+
+    def _decide(
+        self,
+        place: WaitingPlace,
+        rejection: Rejection,
+        refused_ms: float,
+        per_s: float,
+        now: float,
+    ) -> TurnedAway:
+        request = place.request
+        ahead = self.queue.ahead_of(request, now)
+        until_s = request.give_up_s + KEPT_FOR_S
+        kept = self._kept_places.keep(
+            place.fingerprint, until_s, now, request.work_ms, per_s
+        )
+        retry_s = retry_after_s(
+            request, ahead.work_ms, refused_ms, per_s, now, self._random, kept
+        )
+        return TurnedAway(rejection, ahead, retry_s)
