--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -56,11 +56,11 @@
 # still share engines. Long ones count the harm to the answers there.
 CROWD_LOSS = 0.2
 # Share of its weight that a request may lose in another failure domain where many nodes
-# send: of most requests there this node learns when they have ended. It is the loss of
-# a short request on the last slot but one.
-UNSEEN_DOMAIN_LOSS = 0.12
-# Share of its weight that a late request loses further until its caller stops waiting,
-# where many nodes send: the later it begins, the more work of others delays it.
+# send: of most requests there this node learns when they have ended. A short request
+# goes there only when it would take the last slot of each engine of its own domain.
+UNSEEN_DOMAIN_LOSS = 0.2
+# Share of its weight that a late request loses further until its caller stops waiting:
+# the later it begins, the more work of others delays it.
 DELAY_LOSS = 0.1
 # Loss of a send to another failure domain, in units of weight.
 OTHER_DOMAIN_LOSS = 0.01
@@ -95,6 +95,8 @@
         engines.
     :param deadline_ms: time left until the answer must be complete.
     :param many_senders: whether so many nodes send that each learns of most sends late.
+    :param counts_delays: whether a late begin or end, and the pauses of answers that
+        begin later, count by how much they delay.
     :param cost: what the caller loses when it is late or not served.
     """
 
@@ -106,6 +108,7 @@
     average_call_ms: float = 0.0
     deadline_ms: float = float("inf")
     many_senders: bool = False
+    counts_delays: bool = False
     cost: CallerCost = attrs.field()
 
     @cost.default
@@ -277,7 +280,7 @@
         for a in assignments
         if a.first_event_seen and a.gap_objective_ms
     )
-    if demand.many_senders:
+    if demand.counts_delays:
         others_loss += _later_pause_loss(candidate, profile, pause_ms, first_ms, now)
     if engines > 1:
         others_loss += _delay_loss(
@@ -285,7 +288,7 @@
         )
     own_loss = _own_loss(first_ms, demand) + _penalty(candidate, demand)
     own_loss += demand.weight * _crowd_share(len(assignments) + 1, profile, demand)
-    if demand.many_senders:
+    if demand.counts_delays:
         own_loss += demand.weight * _delay_share(first_ms, end_ms, demand)
     return Estimate(first_ms, end_ms, pause_ms, own_loss, others_loss)
 
@@ -293,7 +296,7 @@
 def _crowd_share(taken: int, profile: EngineProfile, demand: Demand) -> float:
     """Return the share of the weight at risk by sends that this node doesn't know."""
     if demand.many_senders and demand.prompt_tokens < LONG_PROMPT_TOKENS:
-        return CROWD_LOSS * min(1.0, taken / profile.slots) ** 3
+        return CROWD_LOSS * (taken / profile.slots) ** 3
     return LAST_SLOT_LOSS if taken == profile.slots else 0.0
 
 
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -14,8 +14,9 @@
 every node of the fleet.
 
 In a fleet of many senders, long prompts that arrive within some milliseconds don't know
-each other, and the same order would send them to the same engines. There, a hash of
-the request alone decides between the engines of a failure domain where it loses least.
+each other, and the same order would send them to the same engines. There, a hash of the
+request decides between the last half of the engines, where it loses least. Nor do nodes
+know who uses the engines of other failure domains: a hash of the request decides there.
 """
 
 import itertools
@@ -136,6 +137,8 @@
         demand.many_senders,
     )
     ordered = _ordered(open_candidates, long_prompt, domain_first, group_size, salt)
+    if demand.many_senders and not long_prompt:
+        _shuffle_other_domains(ordered, salt)
     options = itertools.chain(
         _single_options(ordered, demand, now, group_size),
         _split_options(ordered, demand, now),
@@ -176,9 +179,17 @@
     return candidates
 
 
+def _shuffle_other_domains(ordered: list[Candidate], salt: str) -> None:
+    """Order the candidates of other failure domains, the last ones, by a hash alone."""
+    own = sum(c.same_domain for c in ordered)
+    ordered[own:] = sorted(
+        ordered[own:], key=lambda c: _hash_rank(c.server.backend_id, salt)
+    )
+
+
 def _group_size(engines: int, long_prompt: bool, many_senders: bool) -> int:
     if long_prompt and many_senders:
-        return max(1, engines)
+        return max(1, engines // 2)
     group_size = 1 + engines // ENGINES_PER_GROUP_MEMBER
     return group_size * LONG_GROUP_FACTOR if long_prompt else group_size
 
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -92,7 +92,7 @@
         :raises TimeoutError: when the request's deadline has passed.
         """
         ordered = self._is_ordered(run)
-        if ordered or self._many_senders(run):
+        if ordered or self._many_senders():
             self._state.fleet_beliefs.enabled = True
         if ordered:
             return await self._ordered.place(run)
@@ -190,20 +190,24 @@
             placement.long_prompt
             and not run.settled
             and not run.events
-            and self._many_senders(run)
+            and self._counts_delays(run)
         )
 
-    def _many_senders(self, run: RelayRun) -> bool:
+    def _many_senders(self) -> bool:
         """Return whether this node learns of most sends of others late."""
         from_nodes = self._state.settings.placement.many_senders_from
         nodes = len(self._state.peers.others) + 1
-        return run.admitted.rank is not None or (
-            from_nodes is not None and nodes >= from_nodes
-        )
+        return from_nodes is not None and nodes >= from_nodes
+
+    def _counts_delays(self, run: RelayRun) -> bool:
+        """Return whether delays count by their length, and sends by what follows."""
+        return self._many_senders() or run.admitted.rank is not None
 
     def _demand(self, run: RelayRun, now: float) -> Demand:
         average_call_ms = self._state.average_call_ms(run.admitted.service.name)
-        return run.demand(now, average_call_ms, self._many_senders(run))
+        return run.demand(
+            now, average_call_ms, self._many_senders(), self._counts_delays(run)
+        )
 
     def _choose(self, run: RelayRun, now: float) -> tuple[int, RelayPlacement | None]:
         candidates = list(self._candidates(run, now))
