--- a/src/tanagerkeel/relay/_ranks.py
+++ b/src/tanagerkeel/relay/_ranks.py
@@ -65,11 +65,13 @@
         :param services: names of the services whose requests may have ranks.
         """
         route_ranks: dict[str, set[int]] = {name: set() for name in services}
+        account_ranks = {account.priority for account in accounts} or {None}
         for route in routes:
+            if route.public:
+                account_ranks.add(None)
             for share in route.services:
                 if share.name in route_ranks:
                     route_ranks[share.name].add(_clamp(route.priority))
-        account_ranks = {account.priority for account in accounts} | {None}
         return cls(
             {
                 name: {
--- a/src/tanagerkeel/relay_entry/_fleet_beliefs.py
+++ b/src/tanagerkeel/relay_entry/_fleet_beliefs.py
@@ -31,6 +31,7 @@
 
     :param node: this node's id.
     :param enabled: whether anything is told to peers, or taken from their updates.
+    :param shares_slow: whether that includes which backend servers are slow.
     :param own_backlog: what waits at this node for a place.
     :param backlogs: what waits at the peers of this failure domain.
     :param slow: measurements of backend servers, of this node and its peers.
@@ -39,6 +40,7 @@
 
     _node: str
     enabled: bool = False
+    shares_slow: bool = False
     own_backlog: OwnBacklog = _no_backlog
     backlogs: PeerBacklogs = attrs.field()
     slow: SlowReports = attrs.field(factory=SlowReports)
@@ -80,7 +82,7 @@
 
     def slow_reports(self, now: float) -> tuple[SlowReport, ...]:
         """Return what this node reports of slow backend servers."""
-        return self.slow.reports(now) if self.enabled else ()
+        return self.slow.reports(now) if self.shares_slow else ()
 
     def merge(
         self,
@@ -101,7 +103,8 @@
         """
         if self.enabled:
             self.backlogs.merge(node, backlogs, now)
-            self.slow.merge(node, slow_servers, now)
+            if self.shares_slow:
+                self.slow.merge(node, slow_servers, now)
             self.kept_places.merge(kept_places, now)
 
     def remove_peer(self, node: str) -> None:
@@ -113,12 +116,12 @@
         self, incarnation: tuple[str, int], ratio: float, now: float
     ) -> None:
         """Record measured over expected time to the first event of an own request."""
-        if self.enabled:
+        if self.shares_slow:
             self.slow.record(incarnation, ratio, now)
 
     def latency_ratio(self, record: BackendRecord, now: float) -> float:
         """Return measured over expected time of a backend server, as all found it."""
-        if not self.enabled:
+        if not self.shares_slow:
             return record.latency_ratio
         incarnation = record.server.incarnation
         samples = self.slow.own_samples(incarnation, now)
--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -98,7 +98,7 @@
                     self._taken[run] = line, place
                 if outcome is not None:
                     return outcome
-                line.start_waiting()
+                line.start_waiting(place)
                 async with asyncio.timeout(run.deadline_s - now):
                     await place.wait_turn()
         finally:
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -94,6 +94,9 @@
         ordered = self._is_ordered(run)
         if ordered or self._many_senders():
             self._state.fleet_beliefs.enabled = True
+        self._state.fleet_beliefs.shares_slow = (
+            self._state.settings.placement.shares_slow
+        )
         if ordered:
             return await self._ordered.place(run)
         queue = self._queues.setdefault(run.admitted.service.name, {})
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -81,12 +81,14 @@
 
     :param many_senders_from: number of nodes from which on each node counts on sends of
         others that it learns of late; None for never.
+    :param shares_slow: whether nodes tell each other which backend servers are slow.
     """
 
     many_senders_from: int | None = attrs.field(
         default=None,
         validator=attrs.validators.optional(attrs.validators.gt(0)),
     )
+    shares_slow: bool = False
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_waiting_line.py
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -30,6 +30,9 @@
 # Requests in a row that may try in vain after a change: those behind them need at least
 # as much, or are less urgent. The next change begins with the first one again.
 MAX_VAIN_TRIES = 4
+# Requests up to which each arrival decides who is refused. In a longer queue this takes
+# milliseconds, and is decided each time that requests are woken.
+MAX_WEIGHED_AT_ONCE = 100
 # Requests that are woken after one change at most; the next change begins anew.
 MAX_WOKEN = 32
 # Time for which a place is kept after the caller was told to return, in seconds.
@@ -61,6 +64,7 @@
     :param fingerprint: by which its caller is recognized when it comes back.
     :param turned_away: set when the request is refused.
     :param yield_times: for how long it has left free places to other nodes' requests.
+    :param waits: whether the request could not be placed at once.
     :param logged: whether it is in the log that the request waits.
     """
 
@@ -68,6 +72,7 @@
     fingerprint: str
     turned_away: TurnedAway | None = None
     yield_times: YieldTimes = attrs.field(factory=YieldTimes)
+    waits: bool = False
     logged: bool = False
     _has_turn: bool = False
     _turn: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -141,15 +146,16 @@
         place = WaitingPlace(request, fingerprint)
         self.queue.push(request, now)
         self._places[request] = place
-        if self._task is None and len(self._places) > 1:
-            self._start()
-        self._turn_away(now)
+        if len(self._places) <= MAX_WEIGHED_AT_ONCE:
+            self._turn_away(now)
         return place
 
-    def start_waiting(self) -> None:
-        """Wake requests from now on; called when the first one can't be placed."""
+    def start_waiting(self, place: WaitingPlace) -> None:
+        """Wake a request from now on that can't be placed at once."""
         if self._task is None:
-            self._start()
+            self._task = asyncio.create_task(self._wake_until_empty())
+        if not place.waits:
+            place.waits = True
             self._on_changed()
 
     def take(self, place: WaitingPlace) -> None:
@@ -159,7 +165,8 @@
         self.queue.take(place.request, now)
         self._rate.record_started(place.request.work_ms, now, len(self._places))
         place.end(took=True)
-        self._on_changed()
+        if place.waits:
+            self._on_changed()
 
     def leave(self, place: WaitingPlace) -> None:
         """Remove a request that got none; one that isn't waiting is ignored."""
@@ -167,15 +174,13 @@
             return
         self.queue.remove(place.request)
         place.end(took=False)
-        self._on_changed()
+        if place.waits:
+            self._on_changed()
 
     def complete(self, place: WaitingPlace) -> None:
         """Record that a request that got a backend server has ended."""
         self.queue.complete(place.request)
 
-    def _start(self) -> None:
-        self._task = asyncio.create_task(self._wake_until_empty())
-
     async def _wake_until_empty(self) -> None:
         try:
             while self._places:
