--- a/tests/test_relay_updates_across_builds.py
+++ b/tests/test_relay_updates_across_builds.py
@@ -160,7 +160,7 @@
 def _enabled(domain="zone-a"):
     state, task = _task()
     state.peers.put(Peer("n2", domain, "127.0.0.1:1", 1))
-    state.fleet_beliefs.enabled = True
+    state.fleet_beliefs.enabled = state.fleet_beliefs.shares_slow = True
     return state, task
 
 
@@ -213,7 +213,7 @@
 def test_the_bytes_of_an_update_without_queueing_are_those_of_an_older_build():
     for enabled in (False, True):
         state, task = _enabled()
-        state.fleet_beliefs.enabled = enabled
+        state.fleet_beliefs.enabled = state.fleet_beliefs.shares_slow = enabled
         if not enabled:
             state.fleet_beliefs.own_backlog = lambda now: {"llm": (_work(),)}
             state.fleet_beliefs.record_ratio(("i-1", 1), 3.0, 0.0)
@@ -223,6 +223,10 @@
 
 
 def test_what_peers_report_is_ignored_unless_it_is_switched_on():
+    state, task = _enabled()
+    state.fleet_beliefs.shares_slow = False
+    _receive(task, [[ASSIGNMENT], *REST, 5_000, [BACKLOG], [SLOW]], 1)
+    assert _known(state) == (["n2"], [])
     state, task = _enabled()
     state.fleet_beliefs.enabled = False
     _receive(task, [[ASSIGNMENT], *REST, 5_000, [BACKLOG], [SLOW]])
