--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -95,8 +95,6 @@
         engines.
     :param deadline_ms: time left until the answer must be complete.
     :param many_senders: whether so many nodes send that each learns of most sends late.
-    :param counts_delays: whether a late begin or end, and the pauses of answers that
-        begin later, count by how much they delay.
     :param cost: what the caller loses when it is late or not served.
     """
 
@@ -108,7 +106,6 @@
     average_call_ms: float = 0.0
     deadline_ms: float = float("inf")
     many_senders: bool = False
-    counts_delays: bool = False
     cost: CallerCost = attrs.field()
 
     @cost.default
@@ -280,7 +277,7 @@
         for a in assignments
         if a.first_event_seen and a.gap_objective_ms
     )
-    if demand.counts_delays:
+    if demand.many_senders:
         others_loss += _later_pause_loss(candidate, profile, pause_ms, first_ms, now)
     if engines > 1:
         others_loss += _delay_loss(
@@ -288,7 +285,7 @@
         )
     own_loss = _own_loss(first_ms, demand) + _penalty(candidate, demand)
     own_loss += demand.weight * _crowd_share(len(assignments) + 1, profile, demand)
-    if demand.counts_delays:
+    if demand.many_senders:
         own_loss += demand.weight * _delay_share(first_ms, end_ms, demand)
     return Estimate(first_ms, end_ms, pause_ms, own_loss, others_loss)
 
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -193,7 +193,7 @@
             placement.long_prompt
             and not run.settled
             and not run.events
-            and self._counts_delays(run)
+            and self._many_senders()
         )
 
     def _many_senders(self) -> bool:
@@ -202,15 +202,9 @@
         nodes = len(self._state.peers.others) + 1
         return from_nodes is not None and nodes >= from_nodes
 
-    def _counts_delays(self, run: RelayRun) -> bool:
-        """Return whether delays count by their length, and sends by what follows."""
-        return self._many_senders() or run.admitted.rank is not None
-
     def _demand(self, run: RelayRun, now: float) -> Demand:
         average_call_ms = self._state.average_call_ms(run.admitted.service.name)
-        return run.demand(
-            now, average_call_ms, self._many_senders(), self._counts_delays(run)
-        )
+        return run.demand(now, average_call_ms, self._many_senders())
 
     def _choose(self, run: RelayRun, now: float) -> tuple[int, RelayPlacement | None]:
         candidates = list(self._candidates(run, now))
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -177,11 +177,7 @@
         return max(share_s, min(OVERDUE_FACTOR * expected_s, self.caller_timeout_s))
 
     def demand(
-        self,
-        now: float,
-        average_call_ms: float,
-        many_senders: bool = False,
-        counts_delays: bool = False,
+        self, now: float, average_call_ms: float, many_senders: bool = False
     ) -> Demand:
         """
         Return what placement needs to know of the request.
@@ -190,7 +186,6 @@
         :param average_call_ms: average duration of a call of a plain service.
         :param many_senders: whether so many nodes send that each learns of most sends
             late.
-        :param counts_delays: whether delays count by their length.
         """
         model_demand = self.request.demand
         engine = self.admitted.service.engine
@@ -208,7 +203,6 @@
             average_call_ms=average_call_ms,
             deadline_ms=max(0.0, 1_000 * (self.deadline_s - now)),
             many_senders=many_senders,
-            counts_delays=counts_delays,
             cost=self.cost,
         )
 
