--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -15,8 +15,10 @@
 
 In a fleet of many senders, long prompts that arrive within some milliseconds don't know
 each other, and the same order would send them to the same engines. There, a hash of the
-request decides between the last half of the engines, where it loses least. Nor do nodes
-know who uses the engines of other failure domains: a hash of the request decides there.
+request decides between the last half of the engines, where it loses least. Short ones
+would all go to the engine with the fewest requests, as far as their nodes know. So each
+takes the best of a few, which a hash of it selects from as many of its own domain's
+first engines as the known load needs.
 """
 
 import itertools
@@ -51,6 +53,16 @@
 ENGINES_PER_GROUP_MEMBER = 15
 # Factor of the group size for long prompts, as each takes several engines at once.
 LONG_GROUP_FACTOR = 3
+# Engines that a short request is compared on where many nodes send. With two or three,
+# few requests of the same moment choose alike, and most avoid the fullest engines.
+SAMPLE_SIZE = 3
+# Share of their slots to which the first engines of a failure domain are filled before
+# further ones are used, and how many more are used for what is not known yet.
+ACTIVE_SLOT_SHARE = 0.5
+SPARE_ENGINES = 3
+# Share of its weight that a short request may lose on the best of those engines; else
+# it is compared on all. It is the loss on the last slot but one.
+ACCEPTED_LOSS = 0.12
 # From this number of open engines in the node's own failure domain on, long prompts
 # prefer them; it is more than one prompt is split between.
 MIN_DOMAIN_ENGINES = 16
@@ -128,6 +140,10 @@
     :param salt: differs between requests, and orders the candidates of a group.
     """
     open_candidates = [c for c in candidates if free_places(c)]
+    if demand.many_senders and demand.prompt_tokens < LONG_PROMPT_TOKENS:
+        best = _best_of_sample(open_candidates, demand, now, salt)
+        if best is not None:
+            return best
     own_domain = sum(c.same_domain for c in open_candidates)
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
     domain_first = long_prompt and own_domain >= MIN_DOMAIN_ENGINES
@@ -143,15 +159,44 @@
         _single_options(ordered, demand, now, group_size),
         _split_options(ordered, demand, now),
     )
+    placement = _least_loss(options, demand)
+    if placement is None or not domain_first:
+        return placement
+    return attrs.evolve(placement, domain_first=True)
+
+
+def _least_loss(
+    options: Iterable[tuple[float, RelayPlacement]], demand: Demand
+) -> RelayPlacement | None:
     in_time = (
         (cost, placement)
         for cost, placement in options
         if placement.estimate.first_ms < demand.caller_timeout_ms
     )
     _, placement = min(in_time, key=lambda rated: rated[0], default=(0.0, None))
-    if placement is None or not domain_first:
-        return placement
-    return attrs.evolve(placement, domain_first=True)
+    return placement
+
+
+def _best_of_sample(
+    candidates: Iterable[Candidate], demand: Demand, now: float, salt: str
+) -> RelayPlacement | None:
+    """Return the best of a few engines of the own domain; None if it loses much."""
+    own = sorted(
+        (c for c in candidates if c.same_domain and c.profile is not None),
+        key=lambda c: _hash_rank(c.server.backend_id),
+    )
+    if not own:
+        return None
+    running = sum(len(c.assignments) for c in own)
+    filled = math.ceil((running + 1) / (ACTIVE_SLOT_SHARE * own[0].profile.slots))
+    active = own[: filled + SPARE_ENGINES]
+    sample = sorted(active, key=lambda c: _hash_rank(c.server.backend_id, salt))
+    best = _least_loss(
+        _single_options(sample[:SAMPLE_SIZE], demand, now, SAMPLE_SIZE), demand
+    )
+    if best is None or best.estimate.loss > ACCEPTED_LOSS * demand.weight:
+        return None
+    return best
 
 
 def _ordered(
