--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -11,7 +11,13 @@
 import tempfile
 import time
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from panunumpa import PlatformBackendCodec, PlatformStore, PlatformStoreDecoder
+from panunumpa._check_output import difference_path
+from panunumpa._configuration_check import check_document
+from panunumpa._field_names import wire_value
 from tanagerkeel.gateways.exchange import RawHead
 from tanagerkeel.gateways.platform import (
     CompareFailed,
@@ -173,6 +179,252 @@
         file.unlink(missing_ok=True)
 
 
+def _write_files(folder, **documents):
+    files = []
+    for name, document in documents.items():
+        file = pathlib.Path(folder) / f"{name}.json"
+        file.write_text(json.dumps(document))
+        files.append(str(file))
+    return files
+
+
+def _changed_configuration():
+    document = configuration(8)
+    document["routes"][0]["trafficSplit"] = [
+        {"service": "booking", "weight": 9},
+        {"service": "models", "weight": 0},
+    ]
+    document["services"][1]["engine"]["read_per_s"] = 100_000.0
+    document["tenants"] = [
+        {"name": "acme", "apiKeys": ["new-key"], "priority": 1},
+        {"name": "bolt", "apiKeys": ["secret-1", "secret-2"]},
+    ]
+    return document
+
+
+def test_the_command_reports_every_error_with_its_path_in_the_file():
+    document = configuration(7)
+    lookup, _, chat = document["routes"]
+    del lookup["host"]
+    chat["timeoutMs"] = "soon"
+    document["routes"].append(
+        route("new", "safe", "booking", trafficSplit=[{"service": "x", "weight": 1}])
+    )
+    document["services"][0]["coldS"] = []
+    document["services"][1]["engine"]["kvCapacityTokens"] = 9
+    document["tenants"][0]["apiKeys"] = "a-secret"
+    document["limits"]["maxBodyBytes"] = "8 MB"
+    result = check_document(json.dumps(document).encode())
+    assert [(f.problem.code, f.path) for f in result.findings] == [
+        ("unreadable", "routes[0].host"),
+        ("unreadable", "routes[2].timeoutMs"),
+        ("unreadable", "services[0].coldS"),
+        ("unreadable", "tenants[0].apiKeys"),
+        ("unreadable", "limits.maxBodyBytes"),
+        ("unknown-service", "routes[3].trafficSplit[0].service"),
+        ("memory-below-prompt", "services[1].engine.kvCapacityTokens"),
+    ]
+    assert "a-secret" not in repr(result.findings)
+
+
+def test_the_command_says_nothing_uncertain_about_what_it_can_not_read():
+    document = configuration(7)
+    document["routes"][2]["service"] = 5
+    # That no route names "models" is not certain, nor that it is unknown below.
+    assert [f.path for f in check_document(json.dumps(document).encode()).findings] == [
+        "routes[2].service"
+    ]
+    document = configuration(7)
+    document["services"][1]["name"] = None
+    assert [f.path for f in check_document(json.dumps(document).encode()).findings] == [
+        "services[1].name"
+    ]
+    for raw in (b"", b"[]", b"\xff", b'{"version": 1e400}'):
+        (finding,) = check_document(raw).findings
+        assert (finding.problem.code, finding.path) == ("unreadable", "")
+    assert [f.path for f in check_document(b"{}").findings] == [
+        "version",
+        "routes",
+        "services",
+    ]
+
+
+def test_the_command_compares_with_the_configuration_in_force():
+    with tempfile.TemporaryDirectory() as folder:
+        old, new = _write_files(
+            folder, old=configuration(7), new=_changed_configuration()
+        )
+        result = _run("check-configuration", new, "--in-force", old)
+        assert result.returncode == 0, result.stderr
+        assert result.stdout.splitlines()[1:] == [
+            "~ routes/lookup/service: booking -> booking 9, models 0",
+            "~ services/models/engine.read_per_s: 206000.0 -> 100000.0",
+            "~ tenants/acme/apiKeys: 1 added (SHA-256 479a...); 1 removed (SHA-256 "
+            "689f...)",
+            "+ tenants/bolt",
+            "~ tenants/bolt/apiKeys: 2 added (SHA-256 f4b6..., f7e7...)",
+        ]
+        assert "zero-weight: routes[0].trafficSplit[1].weight" in result.stderr
+        assert "secret" not in result.stdout + result.stderr
+        # The other way round, the version is not above the one in force.
+        result = _run("check-configuration", old, "--in-force", new)
+        assert (result.returncode, "version-not-above" in result.stderr) == (2, True)
+
+
+def test_each_changed_number_is_reported_by_its_name_in_the_file():
+    in_force = check_document(json.dumps(configuration(7)).encode()).configuration
+    reported = 0
+    for collection, index, *fields in filter(
+        lambda p: len(p) > 1, _places(configuration(7))
+    ):
+        document = configuration(7)
+        container = document[collection]
+        for name in (index, *fields[:-1]):
+            container = container[name] if fields else container
+        last = fields[-1] if fields else index
+        value = container[last]
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            continue
+        container[last] = value + 1
+        (difference,) = check_document(
+            json.dumps(document).encode(), in_force
+        ).differences
+        entry = [document[collection][index]["name"]] if fields else []
+        path = "/".join([collection, *entry, ".".join(fields) or index])
+        assert (difference_path(difference), value) == (path, _before(difference))
+        reported += 1
+    assert reported > 30
+
+
+def _before(difference):
+    return wire_value(difference.field, difference.before)
+
+
+def test_the_command_prints_one_json_object():
+    with tempfile.TemporaryDirectory() as folder:
+        old, new, bad = _write_files(
+            folder,
+            old=configuration(7),
+            new=_changed_configuration(),
+            bad=configuration(9, routes=[{}]),
+        )
+        result = _run("check-configuration", new, "--in-force", old, "--json")
+        report = json.loads(result.stdout)
+        assert (result.returncode, result.stderr, report["valid"]) == (0, "", True)
+        assert [(f["level"], f["code"], f["path"]) for f in report["findings"]] == [
+            ("warning", "zero-weight", "routes[0].trafficSplit[1].weight")
+        ]
+        assert report["differences"][:2] == [
+            {
+                "change": "changed",
+                "path": "routes/lookup/service",
+                "before": "booking",
+                "after": "booking 9, models 0",
+            },
+            {
+                "change": "changed",
+                "path": "services/models/engine.read_per_s",
+                "before": 206_000.0,
+                "after": 100_000.0,
+            },
+        ]
+        assert report["differences"][3] == {"change": "added", "path": "tenants/bolt"}
+        assert "secret" not in result.stdout
+        result = _run("check-configuration", new, "--in-force", bad, "--json")
+        report = json.loads(result.stdout)
+        assert (result.returncode, report["valid"]) == (2, False)
+        assert report["differences"] is None
+        assert bad in report["findings"][0]["message"]
+
+
+def test_warnings_change_the_exit_code_only_when_asked_to():
+    with tempfile.TemporaryDirectory() as folder:
+        clean, warned, bad = _write_files(
+            folder,
+            clean=configuration(7),
+            warned=_changed_configuration(),
+            bad=configuration(7, services=[]),
+        )
+        assert _run("check-configuration", warned).returncode == 0
+        assert _run("check-configuration", warned, "--strict").returncode == 3
+        assert _run("check-configuration", clean, "--strict").returncode == 0
+        assert _run("check-configuration", bad, "--strict").returncode == 2
+        missing = str(pathlib.Path(folder) / "missing.json")
+        assert _run("check-configuration", missing).returncode == 2
+        result = _run("check-configuration", clean, "--in-force", missing)
+        assert (result.returncode, missing in result.stderr) == (2, True)
+
+
+def test_a_node_does_not_import_the_check_at_its_start():
+    script = (
+        "import sys; sys.path.insert(0, 'platform'); import run, panunumpa._main; "
+        "print([m for m in sys.modules if 'check' in m and "
+        "m.startswith(('panunumpa', 'tanagerkeel'))])"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", script],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": ""},
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert (result.returncode, result.stdout.strip()) == (0, "[]"), result.stderr
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**400), 10**400)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.sampled_from(["", "booking", "models", "safe", "/", "12", "nan", "-inf"]),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.sampled_from(["name", "service", "weight"]), inner)
+    ),
+    max_leaves=4,
+)
+
+
+def _places(value, path=()):
+    """Yield the path of every value in a JSON document."""
+    yield path
+    items = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for name, item in items:
+        yield from _places(item, (*path, name))
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.data())
+def test_no_document_makes_the_check_fail_or_shows_a_key(data):
+    document = _changed_configuration()
+    for _ in range(data.draw(st.integers(1, 3))):
+        *path, last = data.draw(st.sampled_from(list(_places(document))[1:]))
+        container = document
+        for name in path:
+            container = container[name]
+        if data.draw(st.booleans()):
+            container[last] = data.draw(JSON_VALUES)
+        else:
+            del container[last]
+    raw = json.dumps(document).encode()
+    in_force = check_document(json.dumps(configuration(7)).encode()).configuration
+    result = check_document(raw, in_force)
+    assert not any(key in repr(result.findings) for key in ("secret", "new-key"))
+    # A configuration that nodes refuse is never called readable.
+    unreadable = {"unreadable"} & {f.problem.code for f in result.findings}
+    try:
+        PlatformStoreDecoder().decode_written("op/config", raw)
+    except (ArithmeticError, UnreadableEntry):
+        assert unreadable
+    assert (result.differences is None) == bool(unreadable)
+
+
 def test_a_node_reads_all_ca_certificates_of_the_machine_at_its_start():
     script = (
         "import sys; sys.path.insert(0, 'platform'); import run, ssl; "
