--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -148,6 +148,14 @@
     assert "services[1]" in _rejection_reason("op/config", document)
 
 
+def test_a_rejected_list_of_accounts_wrote_its_keys_to_the_log():
+    # Nodes log the reason of the rejection.
+    reason = _rejection_reason(
+        "op/config", configuration(7, tenants={"acme": {"apiKeys": ["a-secret"]}})
+    )
+    assert reason == "tenants is not a list"
+
+
 def _run(*arguments):
     # The test starts the command as an operator does; nodes never start a process.
     environment = {**os.environ, "PYTHONPATH": ""}
