--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -121,7 +121,7 @@
         ended = self._rules.end(run, now)
         if ended is not None:
             return ended
-        if not place.may_try(line.queue, now):
+        if not line.may_try(place):
             return None
         candidates, placement = self._rules.choose(run, now)
         if placement is None or self._rules.defers(run, placement, now):
--- a/src/tanagerkeel/relay_entry/_waiting_line.py
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -79,9 +79,10 @@
     _tried: asyncio.Event = attrs.field(factory=asyncio.Event)
     _took: bool = False
 
-    def may_try(self, queue: WaitingQueue, now: float) -> bool:
-        """Return whether it is the request's turn: it was woken, or goes first."""
-        return self._has_turn or next(queue.in_order(now), None) is self.request
+    @property
+    def has_turn(self) -> bool:
+        """Whether the request was woken and hasn't tried since."""
+        return self._has_turn
 
     async def wait_turn(self) -> None:
         """Wait until the request may try again, or is turned away."""
@@ -130,6 +131,8 @@
     _rate: DrainRate = attrs.field(factory=DrainRate)
     _places: dict[WaitingRequest, WaitingPlace] = attrs.field(factory=dict)
     _task: asyncio.Task | None = None
+    # Whether all whose turn it is have tried since the last change.
+    _all_tried: bool = True
 
     def __len__(self) -> int:
         return len(self._places)
@@ -150,6 +153,17 @@
             self._turn_away(now)
         return place
 
+    def may_try(self, place: WaitingPlace) -> bool:
+        """
+        Return whether it is a request's turn to try.
+
+        A new one may also try at once while those before it have tried in vain: it may
+        need less than they do.
+        """
+        if place.has_turn or (self._all_tried and not place.waits):
+            return True
+        return next(self.queue.in_order(self._clock()), None) is place.request
+
     def start_waiting(self, place: WaitingPlace) -> None:
         """Wake a request from now on that can't be placed at once."""
         if self._task is None:
@@ -186,9 +200,12 @@
             while self._places:
                 self._turn_away(self._clock())
                 await self._wake_in_order()
+                self._all_tried = True
                 await self._wait_for_change()
+                self._all_tried = False
         finally:
             self._task = None
+            self._all_tried = True
 
     async def _wake_in_order(self) -> None:
         vain = 0
--- a/tests/platform/test_waiting_order.py
+++ b/tests/platform/test_waiting_order.py
@@ -18,7 +18,6 @@
 
 # What an engine takes: its slots, and the requests that it queues itself.
 PLACES = 10
-SHORT = ("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 200,40")
 
 
 def _document(version: int = 2, urgent_rank: int = 0) -> dict:
@@ -81,7 +80,7 @@
                 f"/{route_name}/x",
                 method="POST",
                 body=b"p" * len(request_id),
-                headers=SHORT,
+                headers=("Tanagerkeel-Model: m", "Tanagerkeel-Token-Count: 200,40"),
                 request_id=request_id,
                 deadline_ms=20_000,
             )
