--- a/src/tanagerkeel/codec.py
+++ b/src/tanagerkeel/codec.py
@@ -1,6 +1,7 @@
 """Converts typed values to and from JSON and MessagePack, with cattrs and msgspec."""
 
 import enum
+import re
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -27,6 +28,8 @@
 ]
 
 T = TypeVar("T")
+# The field in the message of an attrs validator, such as "'port' must be > 0: -1".
+_VALIDATED_FIELD = re.compile(r"(?:Length of )?'(\w+)' ")
 
 
 def _strict_hook(
@@ -89,6 +92,16 @@
     return _json_converter.unstructure(value)
 
 
+def _describe(error: BaseException, expected: type | None) -> str:
+    # The message of a validator may hold the value, which may be a key.
+    text = cattrs.v.format_exception(error, expected)
+    if expected is None and isinstance(error, ValueError) and error.args:
+        field = _VALIDATED_FIELD.match(str(error.args[0]))
+        if field is not None:
+            return f"{text} of {field[1]}"
+    return text
+
+
 def structure(unstructured: object, cls: type[T], lenient: bool = False) -> T:
     """
     Return the instance of ``cls`` that dictionaries, lists and scalars describe.
@@ -100,7 +113,8 @@
     try:
         return converter.structure(unstructured, cls)
     except cattrs.BaseValidationError as error:
-        raise InvalidValue(tuple(cattrs.transform_error(error))) from error
+        problems = cattrs.transform_error(error, format_exception=_describe)
+        raise InvalidValue(tuple(problems)) from error
     except (TypeError, ValueError, KeyError, AttributeError) as error:
         raise InvalidValue((f"{error} @ $",)) from error
 
--- a/src/tanagerkeel/queueing/_caller_cost.py
+++ b/src/tanagerkeel/queueing/_caller_cost.py
@@ -70,14 +70,16 @@
     :param tokens_per_weight: where a route states no weight, a request weighs 1 plus
         its prompt tokens divided by this number.
     :param rank_factor: factor by which the weight decreases with each rank, where a
-        route states none.
+        route states none; 1 to 100.
     :param late_share: share of its weight that a late request loses, where its route
         states none.
     :param routes: what is stated, by the name of the route.
     """
 
     tokens_per_weight: float = _positive(10_000.0)
-    rank_factor: float = attrs.field(default=2.0, validator=attrs.validators.ge(1))
+    rank_factor: float = attrs.field(
+        default=2.0, validator=[attrs.validators.ge(1), attrs.validators.le(100)]
+    )
     late_share: float = _share(0.75)
     routes: dict[str, RouteCost] = attrs.field(factory=dict)
 
