--- a/src/tanagerkeel/relay/_ranks.py
+++ b/src/tanagerkeel/relay/_ranks.py
@@ -49,6 +49,8 @@
 
     # Positions of the pairs of an account's and a route's rank, by service.
     _positions: dict[str, dict[tuple[int, int], int]]
+    # Whether any client account has a rank.
+    _account_ranks: bool
 
     @classmethod
     def build(
@@ -65,11 +67,16 @@
         :param services: names of the services whose requests may have ranks.
         """
         route_ranks: dict[str, set[int]] = {name: set() for name in services}
+        account_ranks = {account.priority for account in accounts}
+        unranked = not account_ranks
         for route in routes:
+            # Its requests have no account.
+            unranked = unranked or route.public
             for share in route.services:
                 if share.name in route_ranks:
                     route_ranks[share.name].add(_clamp(route.priority))
-        account_ranks = {account.priority for account in accounts} | {None}
+        if unranked:
+            account_ranks.add(None)
         return cls(
             {
                 name: {
@@ -80,7 +87,8 @@
                 }
                 for name, ranks in route_ranks.items()
                 if len(ranks) > 1
-            }
+            },
+            account_ranks != {None},
         )
 
     def rank(
@@ -100,5 +108,8 @@
         pair = _pair(account_rank, _clamp(route.priority))
         first_account = min(a for a, _ in positions)
         first_route = min(r for _, r in positions)
-        steps = pair[0] - first_account + pair[1] - first_route
+        steps = pair[1] - first_route
+        # Where no account has a rank, that of the route stands for both in the pair.
+        if self._account_ranks:
+            steps += pair[0] - first_account
         return Rank(positions.get(pair, LOWEST_RANK), steps)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -22,7 +22,14 @@
 from tanagerkeel.relay import RouteKind, ServerState
 from tanagerkeel.relay_entry import UnreadableEntry
 from tests.fixtures import serving
-from tests.platform.fixtures import configuration, route
+from tests.platform.fixtures import (
+    KEY,
+    configuration,
+    respond_with_id,
+    route,
+    running_relay,
+    stream_script,
+)
 from tests.runner import ROOT
 from tests.support import collect
 
@@ -241,6 +248,115 @@
     ]
 
 
+PRIORITY_HEADER = "tanagerkeel-request-priority"
+
+
+def _ranked(version, chat_rank, batch_rank, account_rank=None):
+    """Return a configuration of two routes to the engines, with their ranks."""
+    routes = [
+        route("chat", "stream", "models", targetGapMs=250, priority=chat_rank),
+        route("batch", "stream", "models", targetGapMs=250, priority=batch_rank),
+        route("lookup", "safe", "booking", priority=batch_rank),
+    ]
+    account = {"name": "acme", "apiKeys": [KEY], "priority": account_rank}
+    return configuration(version, routes=routes, tenants=[account])
+
+
+async def _sent_priorities(relay, *targets, headers=()):
+    (engine,) = relay.engines
+    first = len(engine.received)
+    for target in targets:
+        reply = await relay.call(target, method="POST", body=b"p", headers=headers)
+        assert reply.status == 200, reply
+    received = engine.received[first:]
+    return [request.headers.get(PRIORITY_HEADER) for request in received]
+
+
+async def test_engines_are_told_how_urgent_a_request_is_among_those_of_its_service():
+    async with running_relay(
+        stream_script(2), service="models", document=_ranked(2, 0, 7)
+    ) as relay:
+        targets = ("/chat/x", "/batch/x")
+        assert await _sent_priorities(relay, *targets) == ["0", "1"]
+        # A caller can't choose its own.
+        forged = (f"{PRIORITY_HEADER}: 0",)
+        assert await _sent_priorities(relay, "/batch/x", headers=forged) == ["1"]
+
+
+async def test_engines_are_told_no_rank_where_all_are_equal_or_they_become_so():
+    async with running_relay(
+        stream_script(2), service="models", document=_ranked(2, 3, 1)
+    ) as relay:
+        targets = ("/chat/x", "/batch/x")
+        assert await _sent_priorities(relay, *targets) == ["1", "0"]
+        relay.store.write("op/config", _ranked(3, 1, 3))
+        await relay.until(lambda: relay.node.state.configuration.version == 3)
+        assert await _sent_priorities(relay, *targets) == ["0", "1"]
+        relay.store.write("op/config", _ranked(4, 3, 3, account_rank=0))
+        await relay.until(lambda: relay.node.state.configuration.version == 4)
+        assert await _sent_priorities(relay, *targets) == [None, None]
+
+
+async def test_a_stream_that_runs_while_ranks_change_ends_as_it_began():
+    release = asyncio.Event()
+    events = stream_script(2)
+
+    async def held(engine, request, writer):
+        await release.wait()
+        await events(engine, request, writer)
+
+    async with running_relay(
+        held, service="models", document=_ranked(2, 5, 9)
+    ) as relay:
+        running = asyncio.create_task(relay.call("/batch/x", method="POST", body=b"p"))
+        await relay.until(lambda: relay.received_count() == 1)
+        relay.store.write("op/config", _ranked(3, 0, 0))
+        await relay.until(lambda: relay.node.state.configuration.version == 3)
+        release.set()
+        reply = await running
+        assert (reply.status, reply.complete) == (200, True)
+        (request,) = relay.engines[0].received
+        assert request.headers[PRIORITY_HEADER] == "1"
+        assert relay.node.state.assignments.own == ()
+
+
+async def test_calls_of_plain_services_carry_no_rank():
+    async with running_relay(respond_with_id, document=_ranked(2, 0, 4)) as relay:
+        reply = await relay.call("/lookup/x")
+        assert reply.status == 200
+        (request,) = relay.engines[0].received
+        assert PRIORITY_HEADER not in request.headers
+
+
+def test_ranks_outside_0_to_9_are_accepted_and_others_named_as_invalid():
+    for odd in (-3, 12, 10**30):
+        update = PlatformStoreDecoder().decode_written(
+            "op/config", json.dumps(_ranked(7, odd, 4, odd)).encode()
+        )
+        found = update.configuration
+        (account,) = found.accounts
+        for name in found.routes[:2]:
+            rank = found.rank_of("models", name, account)
+            assert 0 <= rank.position <= 1 and 0 <= rank.steps <= 9, odd
+    for odd in ("high", 1.5, True, [0]):
+        reason = _rejection_reason("op/config", _ranked(7, 0, 4, odd))
+        assert reason == f"tenants[0]: priority has invalid value {odd!r}"
+        reason = _rejection_reason("op/config", _ranked(7, odd, 4))
+        assert reason == f"routes[0]: priority has invalid value {odd!r}"
+
+
+def test_routes_and_accounts_without_a_rank_are_accepted():
+    document = _ranked(7, 0, 4)
+    del document["tenants"][0]["priority"], document["routes"][0]["priority"]
+    update = PlatformStoreDecoder().decode_written(
+        "op/config", json.dumps(document).encode()
+    )
+    found = update.configuration
+    assert found.accounts[0].priority is None
+    rank = found.rank_of("models", found.routes[0], found.accounts[0])
+    assert (rank.position, rank.steps) == (0, 0)
+
+
 async def _call_store(status, body, call):
     import aiohttp
 
