--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -152,6 +152,7 @@
         """
         return (
             placement.long_prompt
+            and bool(self._state.peers.others)
             and not run.settled
             and not run.events
             and self._many_senders(run)
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -173,6 +173,10 @@
         )
         try:
             await self._state.clock.sleep(SETTLE_S)
+        except asyncio.CancelledError:
+            # The caller has left: otherwise peers would count the work for seconds.
+            self._peer_updates.notify_work_progressed(placement.affects_other_domains)
+            raise
         finally:
             for assignment in assignments:
                 self._state.assignments.discard(assignment)
