--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -16,6 +16,7 @@
 In a fleet of many senders, long prompts that arrive within some milliseconds don't know
 each other, and the same order would send them to the same engines. There, a hash of
 the request alone decides between the engines of a failure domain where it loses least.
+Short requests there prefer less strictly the engine with the fewest assignments.
 """
 
 import itertools
@@ -48,6 +49,11 @@
 # the same engine. The size of a group is 1 plus the number of candidates divided by
 # this number, rounded down.
 ENGINES_PER_GROUP_MEMBER = 15
+# Share of its weight by which the loss of a short request varies with a hash of the
+# request and the engine where many nodes send: those that place within some
+# milliseconds would all choose the one engine with the fewest assignments. It is the
+# loss by one more assignment where two thirds of the slots are taken.
+SPREAD_LOSS = 0.06
 # Factor of the group size for long prompts, as each takes several engines at once.
 LONG_GROUP_FACTOR = 3
 # From this number of open engines in the node's own failure domain on, long prompts
@@ -137,7 +143,7 @@
     )
     ordered = _ordered(open_candidates, long_prompt, domain_first, group_size, salt)
     options = itertools.chain(
-        _single_options(ordered, demand, now, group_size),
+        _single_options(ordered, demand, now, group_size, salt),
         _split_options(ordered, demand, now),
     )
     in_time = (
@@ -184,7 +190,11 @@
 
 
 def _single_options(
-    candidates: Sequence[Candidate], demand: Demand, now: float, group_size: int
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    now: float,
+    group_size: int,
+    salt: str,
 ) -> Iterator[tuple[float, RelayPlacement]]:
     last = max(1, (len(candidates) - 1) // group_size)
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
@@ -193,6 +203,9 @@
         rated = estimate(candidate, demand, now)
         if math.isfinite(rated.first_ms):
             cost = rated.loss + ORDER_LOSS * position / last
+            if demand.many_senders and not long_prompt and candidate.profile:
+                share = _hash_rank(candidate.server.backend_id, salt) / 2**32
+                cost += SPREAD_LOSS * demand.weight * share
             yield cost, RelayPlacement(candidate, (), rated, long_prompt=long_prompt)
 
 
