--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -56,9 +56,9 @@
 # still share engines. Long ones count the harm to the answers there.
 CROWD_LOSS = 0.2
 # Share of its weight that a request may lose in another failure domain where many nodes
-# send: of most requests there this node learns when they have ended. A short request
-# goes there only when it would take the last slot of each engine of its own domain.
-UNSEEN_DOMAIN_LOSS = 0.2
+# send: of most requests there this node learns when they have ended. It lies between
+# the losses of a short request on the last slot but one and on the last slot.
+UNSEEN_DOMAIN_LOSS = 0.15
 # Share of its weight that a late request loses further until its caller stops waiting:
 # the later it begins, the more work of others delays it.
 DELAY_LOSS = 0.1
@@ -380,7 +380,8 @@
 
 def _penalty(candidate: Candidate, demand: Demand) -> float:
     other_domain = 0.0 if candidate.same_domain else OTHER_DOMAIN_LOSS
-    if demand.many_senders and not candidate.same_domain:
+    unseen = demand.many_senders and candidate.profile is not None
+    if unseen and not candidate.same_domain:
         other_domain += UNSEEN_DOMAIN_LOSS * demand.weight
     cold = COLD_LOSS * demand.weight if candidate.cold else 0.0
     excess_failure_rate = max(0.0, candidate.failure_rate - IGNORED_FAILURE_RATE)
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -14,11 +14,9 @@
 every node of the fleet.
 
 In a fleet of many senders, long prompts that arrive within some milliseconds don't know
-each other, and the same order would send them to the same engines. There, a hash of the
-request decides between the last half of the engines, where it loses least. Short ones
-would all go to the engine with the fewest requests, as far as their nodes know. So each
-takes the best of a few, which a hash of it selects from as many of its own domain's
-first engines as the known load needs.
+each other, and the same order would send them to the same engines. There, a hash of
+the request alone decides between the engines of a failure domain where it loses least.
+Short requests there prefer less strictly the engine with the fewest assignments.
 """
 
 import itertools
@@ -51,18 +49,13 @@
 # the same engine. The size of a group is 1 plus the number of candidates divided by
 # this number, rounded down.
 ENGINES_PER_GROUP_MEMBER = 15
+# Share of its weight by which the loss of a short request varies with a hash of the
+# request and the engine where many nodes send: those that place within some
+# milliseconds would all choose the one engine with the fewest assignments. It is the
+# loss by one more assignment where two thirds of the slots are taken.
+SPREAD_LOSS = 0.06
 # Factor of the group size for long prompts, as each takes several engines at once.
 LONG_GROUP_FACTOR = 3
-# Engines that a short request is compared on where many nodes send. With two or three,
-# few requests of the same moment choose alike, and most avoid the fullest engines.
-SAMPLE_SIZE = 3
-# Share of their slots to which the first engines of a failure domain are filled before
-# further ones are used, and how many more are used for what is not known yet.
-ACTIVE_SLOT_SHARE = 0.5
-SPARE_ENGINES = 3
-# Share of its weight that a short request may lose on the best of those engines; else
-# it is compared on all. It is the loss on the last slot but one.
-ACCEPTED_LOSS = 0.12
 # From this number of open engines in the node's own failure domain on, long prompts
 # prefer them; it is more than one prompt is split between.
 MIN_DOMAIN_ENGINES = 16
@@ -140,10 +133,6 @@
     :param salt: differs between requests, and orders the candidates of a group.
     """
     open_candidates = [c for c in candidates if free_places(c)]
-    if demand.many_senders and demand.prompt_tokens < LONG_PROMPT_TOKENS:
-        best = _best_of_sample(open_candidates, demand, now, salt)
-        if best is not None:
-            return best
     own_domain = sum(c.same_domain for c in open_candidates)
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
     domain_first = long_prompt and own_domain >= MIN_DOMAIN_ENGINES
@@ -153,50 +142,19 @@
         demand.many_senders,
     )
     ordered = _ordered(open_candidates, long_prompt, domain_first, group_size, salt)
-    if demand.many_senders and not long_prompt:
-        _shuffle_other_domains(ordered, salt)
     options = itertools.chain(
-        _single_options(ordered, demand, now, group_size),
+        _single_options(ordered, demand, now, group_size, salt),
         _split_options(ordered, demand, now),
     )
-    placement = _least_loss(options, demand)
-    if placement is None or not domain_first:
-        return placement
-    return attrs.evolve(placement, domain_first=True)
-
-
-def _least_loss(
-    options: Iterable[tuple[float, RelayPlacement]], demand: Demand
-) -> RelayPlacement | None:
     in_time = (
         (cost, placement)
         for cost, placement in options
         if placement.estimate.first_ms < demand.caller_timeout_ms
     )
     _, placement = min(in_time, key=lambda rated: rated[0], default=(0.0, None))
-    return placement
-
-
-def _best_of_sample(
-    candidates: Iterable[Candidate], demand: Demand, now: float, salt: str
-) -> RelayPlacement | None:
-    """Return the best of a few engines of the own domain; None if it loses much."""
-    own = sorted(
-        (c for c in candidates if c.same_domain and c.profile is not None),
-        key=lambda c: _hash_rank(c.server.backend_id),
-    )
-    if not own:
-        return None
-    running = sum(len(c.assignments) for c in own)
-    filled = math.ceil((running + 1) / (ACTIVE_SLOT_SHARE * own[0].profile.slots))
-    active = own[: filled + SPARE_ENGINES]
-    sample = sorted(active, key=lambda c: _hash_rank(c.server.backend_id, salt))
-    best = _least_loss(
-        _single_options(sample[:SAMPLE_SIZE], demand, now, SAMPLE_SIZE), demand
-    )
-    if best is None or best.estimate.loss > ACCEPTED_LOSS * demand.weight:
-        return None
-    return best
+    if placement is None or not domain_first:
+        return placement
+    return attrs.evolve(placement, domain_first=True)
 
 
 def _ordered(
@@ -224,23 +182,19 @@
     return candidates
 
 
-def _shuffle_other_domains(ordered: list[Candidate], salt: str) -> None:
-    """Order the candidates of other failure domains, the last ones, by a hash alone."""
-    own = sum(c.same_domain for c in ordered)
-    ordered[own:] = sorted(
-        ordered[own:], key=lambda c: _hash_rank(c.server.backend_id, salt)
-    )
-
-
 def _group_size(engines: int, long_prompt: bool, many_senders: bool) -> int:
     if long_prompt and many_senders:
-        return max(1, engines // 2)
+        return max(1, engines)
     group_size = 1 + engines // ENGINES_PER_GROUP_MEMBER
     return group_size * LONG_GROUP_FACTOR if long_prompt else group_size
 
 
 def _single_options(
-    candidates: Sequence[Candidate], demand: Demand, now: float, group_size: int
+    candidates: Sequence[Candidate],
+    demand: Demand,
+    now: float,
+    group_size: int,
+    salt: str,
 ) -> Iterator[tuple[float, RelayPlacement]]:
     last = max(1, (len(candidates) - 1) // group_size)
     long_prompt = demand.prompt_tokens >= LONG_PROMPT_TOKENS
@@ -249,6 +203,9 @@
         rated = estimate(candidate, demand, now)
         if math.isfinite(rated.first_ms):
             cost = rated.loss + ORDER_LOSS * position / last
+            if demand.many_senders and not long_prompt and candidate.profile:
+                share = _hash_rank(candidate.server.backend_id, salt) / 2**32
+                cost += SPREAD_LOSS * demand.weight * share
             yield cost, RelayPlacement(candidate, (), rated, long_prompt=long_prompt)
 
 
