--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -16,6 +16,12 @@
     ServiceSpec,
 )
 from tanagerkeel.relay._deferral import should_defer
+from tanagerkeel.relay._domain_load import (
+    DomainLoad,
+    DomainLoads,
+    EngineLoad,
+    engine_loads,
+)
 from tanagerkeel.relay._estimate import (
     LONG_PROMPT_TOKENS,
     Candidate,
@@ -26,6 +32,12 @@
 from tanagerkeel.relay._events import EventSplitter, StreamEvent
 from tanagerkeel.relay._fleet_size import SMALL_FLEET_NODES
 from tanagerkeel.relay._hold_off import HoldOffTable, parse_retry_after
+from tanagerkeel.relay._load_sender import (
+    LoadIntervals,
+    LoadSender,
+    load_intervals,
+    told_domains,
+)
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
 from tanagerkeel.relay._migration import expected_pause_ms, should_migrate
 from tanagerkeel.relay._pass_model import (
@@ -96,6 +108,9 @@
     "ContactReport",
     "DecodeBatch",
     "Demand",
+    "DomainLoad",
+    "DomainLoads",
+    "EngineLoad",
     "EngineProfile",
     "EraChange",
     "Estimate",
@@ -128,14 +143,18 @@
     "StreamEvent",
     "EncodedChange",
     "LargeValueCache",
+    "LoadIntervals",
+    "LoadSender",
     "UnstartedAttempts",
     "WeightedService",
     "Assignment",
     "choose_peer",
     "choose_placement",
     "decode_ms",
+    "engine_loads",
     "estimate",
     "free_places",
+    "load_intervals",
     "longest_pass_ms",
     "expected_pause_ms",
     "prefill_ms",
@@ -143,6 +162,7 @@
     "read_interval_s",
     "repeat_intervals",
     "watchers",
+    "told_domains",
     "should_migrate",
     "parse_rate_limit",
     "parse_retry_after",
--- a/src/tanagerkeel/relay/_assignments.py
+++ b/src/tanagerkeel/relay/_assignments.py
@@ -151,6 +151,11 @@
             return 0
         return sum(now < a.end_s + OVERDUE_S for a in update.assignments)
 
+    def hears(self, node: str, now: float) -> bool:
+        """Return whether the newest update of a peer is valid."""
+        update = self._peers.get(node)
+        return update is not None and now - update.received_s <= update.valid_s
+
     def oldest_update_age_s(self, now: float) -> float:
         """Return the age of the oldest peer update in use, in seconds."""
         ages = (now - update.received_s for update in self._current(now))
--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -59,6 +59,12 @@
 # send: of most requests there this node learns when they have ended. A short request
 # goes there only when it would take the last slot of each engine of its own domain.
 UNSEEN_DOMAIN_LOSS = 0.2
+# The same for a short request to a failure domain whose load was reported, and what its
+# age adds, for each second. A send there costs a message to each node, so that it pays
+# when the own engines have a slot or two left and the others half. A report of the age
+# of a short request says nothing any more.
+REPORTED_DOMAIN_LOSS = 0.05
+REPORT_AGE_LOSS_PER_S = 0.1
 # Share of its weight that a late request loses further until its caller stops waiting:
 # the later it begins, the more work of others delays it.
 DELAY_LOSS = 0.1
@@ -135,6 +141,8 @@
     :param latency_ratio: measured over expected time to the first event; 1 is as
         expected.
     :param limited: whether it named a limit on the requests per second that it takes.
+    :param load_age_s: age of the report of its failure domain's load that the
+        assignments hold, in seconds; None without a valid report.
     """
 
     server: BackendServer
@@ -145,6 +153,7 @@
     failure_rate: float = 0.0
     latency_ratio: float = 1.0
     limited: bool = False
+    load_age_s: float | None = None
 
 
 @attrs.frozen
@@ -384,12 +393,21 @@
 def _penalty(candidate: Candidate, demand: Demand) -> float:
     other_domain = 0.0 if candidate.same_domain else OTHER_DOMAIN_LOSS
     if demand.many_senders and not candidate.same_domain:
-        other_domain += UNSEEN_DOMAIN_LOSS * demand.weight
+        other_domain += _unseen_share(candidate, demand) * demand.weight
     cold = COLD_LOSS * demand.weight if candidate.cold else 0.0
     excess_failure_rate = max(0.0, candidate.failure_rate - IGNORED_FAILURE_RATE)
     return other_domain + cold + excess_failure_rate * FAILURE_LOSS * demand.weight
 
 
+def _unseen_share(candidate: Candidate, demand: Demand) -> float:
+    """Return the share of the weight at risk in another failure domain."""
+    # A report doesn't say which pauses a long prompt may cause to the answers there.
+    if candidate.load_age_s is None or demand.prompt_tokens >= LONG_PROMPT_TOKENS:
+        return UNSEEN_DOMAIN_LOSS
+    age_share = REPORT_AGE_LOSS_PER_S * candidate.load_age_s
+    return min(UNSEEN_DOMAIN_LOSS, REPORTED_DOMAIN_LOSS + age_share)
+
+
 def _slot_wait_ms(assignments: Sequence[Assignment], slots: int, now: float) -> float:
     excess = len(assignments) + 1 - slots
     if excess <= 0:
--- a/src/tanagerkeel/relay_entry/_fleet_beliefs.py
+++ b/src/tanagerkeel/relay_entry/_fleet_beliefs.py
@@ -12,7 +12,7 @@
     RankedWork,
     backlog_reports,
 )
-from tanagerkeel.relay import BackendRecord, SlowReport, SlowReports
+from tanagerkeel.relay import BackendRecord, DomainLoads, SlowReport, SlowReports
 
 __all__ = ["FleetBeliefs"]
 
@@ -35,6 +35,7 @@
     :param backlogs: what waits at the peers of this failure domain.
     :param slow: measurements of backend servers, of this node and its peers.
     :param kept_places: places kept for callers that any node refused.
+    :param domain_loads: load of other failure domains' engines, as reported.
     """
 
     _node: str
@@ -43,6 +44,7 @@
     backlogs: PeerBacklogs = attrs.field()
     slow: SlowReports = attrs.field(factory=SlowReports)
     kept_places: KeptPlaces = attrs.field(factory=KeptPlaces)
+    domain_loads: DomainLoads = attrs.field(factory=DomainLoads)
     # Services and ranks of the backlog in the last update.
     _told: frozenset[tuple[str, int]] = frozenset()
     # Whether that update said that one of them ended.
@@ -108,6 +110,7 @@
         """Remove a peer that is gone, with all that it told."""
         self.backlogs.remove(node)
         self.slow.remove(node)
+        self.domain_loads.remove_sender(node)
 
     def record_ratio(
         self, incarnation: tuple[str, int], ratio: float, now: float
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -19,6 +19,7 @@
 from tanagerkeel.gateways.problems import header_policy
 from tanagerkeel.gateways.request_signature import ForwardSigner, ForwardVerifier
 from tanagerkeel.relay import CallerLimits
+from tanagerkeel.relay_entry._domain_load_task import DomainLoadTask
 from tanagerkeel.relay_entry._forward_intake import ForwardIntake
 from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._ingress import RelayIngress
@@ -201,6 +202,9 @@
                 self._peer_updates.notify_all_peers,
             ).run,
         )
+        if self.settings.placement.many_senders_from is not None:
+            loads = DomainLoadTask(self.state, self._peer_updates)
+            self._start_task("domain load", loads.run)
         log(
             LogEvent.ENTRY_STARTED,
             node=self.settings.node_id,
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -233,10 +233,20 @@
         :param message: an attrs instance, which becomes the payload.
         :returns: False if nothing was sent, as the key or the socket is missing.
         """
+        return self.send_to_each((peer,), kind, message)
+
+    def send_to_each(self, peers: Sequence[Peer], kind: int, message: object) -> bool:
+        """
+        Send the same datagram to several peers, as :meth:`send_to` does to one.
+
+        It is encoded and signed once.
+        """
         keys = self._presence.keys
         if keys is None or self._datagrams is None:
             return False
-        self._transmit(self._sign(kind, codec.pack_compact(message), keys), peer)
+        data = self._sign(kind, codec.pack_compact(message), keys)
+        for peer in peers:
+            self._transmit(data, peer)
         return True
 
     async def start(self) -> None:
@@ -309,6 +319,9 @@
             if frame.kind in self._handlers:
                 self._handlers[frame.kind](frame.sender, frame.payload)
                 return
+            if frame.kind != NEWS_KIND:
+                self._log_left_out(frame, (f"datagrams of kind {frame.kind}",))
+                return
             update, left_out = codec.unpack_compact_leniently(
                 frame.payload, _QueueingUpdate
             )
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -1,16 +1,18 @@
 """Chooses a backend server for a request, waits for one, or refuses the request."""
 
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
 from tanagerkeel.errors import ResultCode
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.relay import (
+    Assignment,
     BackendRecord,
     Candidate,
     Demand,
+    EngineProfile,
     RelayPlacement,
     choose_placement,
     free_places,
@@ -195,9 +197,8 @@
 
     def _many_senders(self) -> bool:
         """Return whether this node learns of most sends of others late."""
-        from_nodes = self._state.settings.placement.many_senders_from
         nodes = len(self._state.peers.others) + 1
-        return from_nodes is not None and nodes >= from_nodes
+        return self._state.settings.placement.many_senders(nodes)
 
     def _counts_delays(self, run: RelayRun) -> bool:
         """Return whether delays count by their length, and sends by what follows."""
@@ -328,24 +329,56 @@
                 record.server.failure_domain, now
             )
         ]
-        own_domain = self._state.settings.failure_domain
+        engine = run.admitted.service.engine
+        reported = engine is not None and self._many_senders()
         return (
-            Candidate(
-                server=record.server,
-                profile=run.admitted.service.engine,
-                assignments=assignments.get(record.server.backend_id, ()),
-                same_domain=record.server.failure_domain == own_domain,
-                cold=record.is_cold(now),
-                failure_rate=record.failure_rate(now),
-                latency_ratio=max(
-                    1.0, self._state.fleet_beliefs.latency_ratio(record, now)
-                ),
-                limited=self._state.rate_limits.limit(record.server.incarnation)
-                is not None,
+            self._candidate(
+                record,
+                engine,
+                assignments.get(record.server.backend_id, ()),
+                reported,
+                now,
             )
             for record in reachable or available
         )
 
+    def _candidate(
+        self,
+        record: BackendRecord,
+        engine: EngineProfile | None,
+        assignments: Sequence[Assignment],
+        reported: bool,
+        now: float,
+    ) -> Candidate:
+        """
+        Return a backend server as a candidate.
+
+        :param assignments: what this node knows to be assigned to it.
+        :param reported: whether reports of other failure domains' load count.
+        """
+        beliefs = self._state.fleet_beliefs
+        server = record.server
+        domain = server.failure_domain
+        same_domain = domain == self._state.settings.failure_domain
+        load_age_s = None
+        if reported and not same_domain:
+            loads = beliefs.domain_loads
+            load_age_s = loads.age_s(domain, now)
+            assignments = loads.complete(
+                domain, server.backend_id, assignments, engine, now
+            )
+        return Candidate(
+            server=server,
+            profile=engine,
+            assignments=assignments,
+            same_domain=same_domain,
+            cold=record.is_cold(now),
+            failure_rate=record.failure_rate(now),
+            latency_ratio=max(1.0, beliefs.latency_ratio(record, now)),
+            limited=self._state.rate_limits.limit(server.incarnation) is not None,
+            load_age_s=load_age_s,
+        )
+
     def _cold_limit_allows(
         self, run: RelayRun, record: BackendRecord, now: float
     ) -> bool:
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -88,6 +88,14 @@
         validator=attrs.validators.optional(attrs.validators.gt(0)),
     )
 
+    def many_senders(self, nodes: int) -> bool:
+        """
+        Return whether a node learns of most sends of others late.
+
+        :param nodes: number of nodes in the fleet.
+        """
+        return self.many_senders_from is not None and nodes >= self.many_senders_from
+
 
 @attrs.frozen
 class RelaySettings:
