--- a/tests/test_domain_load.py
+++ b/tests/test_domain_load.py
@@ -40,8 +40,10 @@
 from tanagerkeel.relay._load_sender import MAX_TOLD_DOMAINS
 from tanagerkeel.relay_entry import RelayBounds, RelaySettings
 from tanagerkeel.relay_entry._domain_load_task import LOAD_KIND, DomainLoadTask
+from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask, _QueueingUpdate
 from tanagerkeel.relay_entry._peers import Peer
+from tanagerkeel.relay_entry._placer import RelayPlacer
 from tanagerkeel.relay_entry._settings import PlacementSettings
 from tanagerkeel.relay_entry._state import RelayState
 from tests.support import collect
@@ -258,10 +260,6 @@
 # Who sends.
 
 
-def _sender(node, nodes=NODES):
-    return LoadSender(node, "b", NOW), nodes
-
-
 def _first(nodes=NODES):
     return next(
         n for n in nodes if LoadSender(n, "b", 0.0).due_s(nodes, 5, 9.0, NOW) == NOW
@@ -477,6 +475,31 @@
         assert state.fleet_beliefs.domain_loads.age_s("b", clock.monotonic()) is None
 
 
+def test_placement_counts_what_a_summary_reports_if_the_settings_ask_for_it():
+    for from_nodes, expected in ((4, (4, 0.3)), (None, (0, None))):
+        state, _, _ = _node(from_nodes=from_nodes)
+        start_s = state.clock.monotonic()
+        loads = state.fleet_beliefs.domain_loads
+        for domain, engine in (("a", "e0"), ("b", "e2")):
+            loads.merge(f"n-{domain}", domain, _load((engine, 4, 0)), start_s)
+        state.clock.advance(0.3)
+        placer = RelayPlacer(state, RelayMetrics(), lambda: None)
+        run = types.SimpleNamespace(
+            tried=set(),
+            fingerprint="",
+            is_avoided=lambda *_: False,
+            admitted=types.SimpleNamespace(service=state.configuration.services[0]),
+        )
+        found = {
+            c.server.backend_id: (len(c.assignments), c.load_age_s)
+            for c in placer._candidates(run, state.clock.monotonic())
+        }
+        count, age_s = found["e0"]
+        assert (count, age_s and round(age_s, 3)) == expected
+        # The nodes of the own failure domain know better; domain c reported nothing.
+        assert found["e2"] == found["e4"] == (0, None)
+
+
 def test_a_domain_without_nodes_or_a_fleet_of_one_domain_has_no_summary():
     clock = ManualClock()
     first, _ = _nodes_by_rank(clock)
@@ -540,7 +563,7 @@
 NODES_PER_DOMAIN = 12
 TICK_S = 0.01
 FAR_INTERVAL_S = 6.5
-DEMAND = Demand(1_500, 200, 400.0, 500.0, 2_000.0, many_senders=True)
+DEMAND = Demand(1_500, 200, 200.0, 500.0, 2_000.0, many_senders=True)
 
 
 @attrs.define
@@ -561,10 +584,9 @@
     def engines(self, domain):
         return [f"{domain}{number}" for number in range(ENGINES_PER_DOMAIN)]
 
-    def taken(self, engine):
-        return sum(
-            a.backend_id == engine for work in self.running.values() for a in work
-        )
+    def ends_s(self, engine):
+        work = (a for work in self.running.values() for a in work)
+        return sorted(a.end_s for a in work if a.backend_id == engine)
 
     def tell(self, node, domains, now):
         self._sequence += 1
@@ -602,14 +624,16 @@
             self.late += 1
             return
         engine = placement.candidate.server.backend_id
-        full = self.taken(engine) >= PROFILE.slots
-        free = any(
-            self.taken(e) < PROFILE.slots for d in DOMAINS for e in self.engines(d)
-        )
-        self.late += full
-        self.full += full and free
-        end_s = now + SHORT_S + (0.8 if full else 0.0)
-        work = Assignment(engine, 1_500, 200, 500.0, now, now + 0.1, end_s, True)
+        ends_s = self.ends_s(engine)
+        start_s = now
+        if len(ends_s) >= PROFILE.slots:
+            start_s = ends_s[-PROFILE.slots]
+            others = (e for d in DOMAINS if d != engine[0] for e in self.engines(d))
+            self.full += any(len(self.ends_s(e)) < PROFILE.slots for e in others)
+        self.late += start_s - now > DEMAND.objective_ms / 1_000
+        first_s = start_s + 0.1
+        end_s = start_s + SHORT_S
+        work = Assignment(engine, 1_500, 200, 500.0, now, first_s, end_s, True)
         self.running.setdefault(node, []).append(work)
         far = not placement.candidate.same_domain
         self.overflowed += far
@@ -639,18 +663,18 @@
         return self
 
 
-def test_with_summaries_uneven_demand_is_late_less_often():
-    for seed in (1, 2):
-        results = {
-            summaries: _Fleet(summaries, random.Random(seed)).run(
-                {"a": 0.95, "b": 0.5, "c": 0.5}, 20.0
-            )
-            for summaries in (False, True)
-        }
-        print(
-            seed,
-            {s: (f.sent, f.late, f.full, f.overflowed) for s, f in results.items()},
-        )
+def test_with_summaries_uneven_demand_is_late_less_often_and_no_engine_overfilled():
+    # The first failure domain has demand for 1.4 times its slots, all for 0.73.
+    shares = {"a": 1.4, "b": 0.4, "c": 0.4}
+    alone, told = (
+        [_Fleet(summaries, random.Random(seed)).run(shares, 12.0) for seed in (1, 2, 3)]
+        for summaries in (False, True)
+    )
+    assert [fleet.sent for fleet in told] == [fleet.sent for fleet in alone]
+    assert sum(fleet.late for fleet in told) < sum(fleet.late for fleet in alone)
+    assert sum(fleet.full for fleet in alone) > 0
+    assert sum(fleet.full for fleet in told) == 0
+    assert all(t.overflowed > a.overflowed for t, a in zip(told, alone, strict=True))
 
 
 def load_tests(loader, tests, pattern):
