--- a/src/tanagerkeel/relay/_domain_load.py
+++ b/src/tanagerkeel/relay/_domain_load.py
@@ -102,6 +102,11 @@
             tuple(min(MAX_PREFILL_MS, left_ms) for _, _, left_ms in listed),
         )
 
+    @property
+    def without_engines(self) -> "DomainLoad":
+        """The same for nodes of the failure domain, which only need to hear it."""
+        return attrs.evolve(self, backend_ids=(), requests=(), prefill_ms=())
+
     @property
     def within_bounds(self) -> bool:
         """Whether a node of this build could have made it."""
@@ -325,7 +330,9 @@
         before_s = held.made_s - UNREPORTED_S
         counted = [a for a in known if a.sent_s <= before_s]
         missing = max(0, requests - len(counted))
-        excess_ms = left_ms - _prefill_left_ms(counted, profile, held.made_s)
+        excess_ms = float(left_ms)
+        if left_ms >= MIN_EXCESS_MS:
+            excess_ms -= _prefill_left_ms(counted, profile, held.made_s)
         if excess_ms < MIN_EXCESS_MS:
             return (
                 [*known, *[held.placeholder(profile)] * missing] if missing else known
--- a/src/tanagerkeel/relay_entry/_domain_load_task.py
+++ b/src/tanagerkeel/relay_entry/_domain_load_task.py
@@ -18,7 +18,6 @@
     told_domains,
 )
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask
-from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["LOAD_KIND", "DomainLoadTask"]
@@ -114,14 +113,15 @@
         quiet_until_s = self._last_s + intervals.quiet_s - intervals.busy_s / 2
         if load.same_load(self._last) and now < quiet_until_s:
             return
-        if self._peer_updates.send_to_each(self._told(domains), LOAD_KIND, load):
-            self._last, self._last_s = load, now
-
-    def _told(self, domains: dict[str, str]) -> list[Peer]:
-        """Return the peers that get the summary: also those that may send the next."""
         own_domain = self._state.settings.failure_domain
-        told = {own_domain, *told_domains(domains.values(), own_domain)}
-        return [p for p in self._state.peers.others if p.failure_domain in told]
+        told = told_domains(domains.values(), own_domain)
+        others = self._state.peers.others
+        far = [p for p in others if p.failure_domain in told]
+        if self._peer_updates.send_to_each(far, LOAD_KIND, load):
+            # One of these nodes sends when this one is silent.
+            near = [p for p in others if p.failure_domain == own_domain]
+            self._peer_updates.send_to_each(near, LOAD_KIND, load.without_engines)
+            self._last, self._last_s = load, now
 
     def _own_loads(self, now: float) -> tuple[EngineLoad, ...]:
         configuration = self._state.configuration
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -722,7 +722,12 @@
     return f"{PEERS_HOST}:{free_port(_port_rng, PEERS_HOST, _taken_ports)}"
 
 
-def _make_node(store: WatchedStore, node_id: str, bounds: RelayBounds) -> RelayNode:
+def _make_node(
+    store: WatchedStore,
+    node_id: str,
+    bounds: RelayBounds,
+    adapt: Callable[[RelaySettings], RelaySettings],
+) -> RelayNode:
     settings = RelaySettings(
         node_id=node_id,
         failure_domain="zone-a",
@@ -737,7 +742,7 @@
         drain_delay_s=0.0,
     )
     return RelayNode(
-        settings,
+        adapt(settings),
         store,
         PlatformStoreDecoder(),
         PlatformCallerCodec(),
@@ -755,6 +760,7 @@
     node_count: int = 1,
     store: MemoryStore | None = None,
     connect: Callable[[MemoryStore], WatchedStore] = lambda store: store,
+    adapt: Callable[[RelaySettings], RelaySettings] = lambda settings: settings,
 ) -> AsyncIterator[Relay]:
     """
     Run nodes and one engine for each script, and yield when the nodes are ready.
@@ -769,6 +775,7 @@
     :param node_count: number of nodes, which know each other when they are yielded.
     :param store: an empty store; None for a new one.
     :param connect: returns a node's client of the store.
+    :param adapt: returns a node's settings, of the usual ones.
     """
     store = store or MemoryStore()
     engines = [Engine(f"i-{n}", script) for n, script in enumerate(scripts)]
@@ -779,7 +786,7 @@
         store.write("op/config", document or configuration())
     bounds = bounds or RelayBounds(grace_s=3.0)
     nodes = [
-        _make_node(connect(store), f"node-{number}", bounds)
+        _make_node(connect(store), f"node-{number}", bounds, adapt)
         for number in range(1, node_count + 1)
     ]
     for node in nodes:
