--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -48,6 +48,12 @@
 from tests.platform.soak_leaving import STABLE_S, LeavingChecker
 from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
+from tests.platform.soak_ranks import (
+    PATIENCE_MS,
+    RANKED_CLIENT_COUNT,
+    RANKED_KINDS,
+    RankChecker,
+)
 from tests.platform.soak_sections import (
     CRASHING_SECTION,
     SectionChecker,
@@ -122,6 +128,11 @@
 # bound on its requests begins to hold.
 LIMITED_S = 6.0
 KEYS = ("key-of-acme", "key-of-bolt")
+# Routes of the clients in all runs, and routes whose responses are streams of events.
+KINDS = ("lookup", "reserve", "chat")
+STREAMED_KINDS = ("chat", *RANKED_KINDS)
+# Interval of the faults in a run with ranks, in seconds.
+RANKED_FAULT_INTERVAL_S = 1.2
 # Statuses by which a node says that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -185,6 +196,7 @@
     :param leaving: checks the requests to engines whose entry says that they leave.
     :param limits: counts the requests to engines that name a limit.
     :param sections: counts the requests with a section that crashes engines.
+    :param ranks: checks the order of requests that have ranks.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
         engine ran a request that no client sent), ``CONFIG`` (a revoked key was used),
         ``TWICE`` (an unsafe request ran twice), ``REFUSED`` (a request that ran was
@@ -194,8 +206,11 @@
         it had passed on that the engine leaves, or after the store had accepted it),
         ``BUDGET`` (a node sent more than two requests to an engine that it should have
         held off, or requests with a section after it had crashed too many engines),
-        ``LIMIT`` (the nodes sent an engine more than the limit that it had named) or
-        ``RECOVER`` (a node did not recover after the last fault).
+        ``LIMIT`` (the nodes sent an engine more than the limit that it had named),
+        ``PASSED`` (an urgent request waited while another one began that had waited
+        for too short a time to go first), ``LOST`` (a request that waited was neither
+        served nor refused), ``TOLD`` (an engine was told a wrong rank) or ``RECOVER``
+        (a node did not recover after the last fault).
     :param outcomes: how many requests ended with each status, with a broken response
         (``cut``) or without a response (``none``).
     """
@@ -215,6 +230,7 @@
     leaving: LeavingChecker = attrs.field(factory=LeavingChecker)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
     sections: SectionChecker = attrs.field(factory=SectionChecker)
+    ranks: RankChecker = attrs.field(factory=RankChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -367,7 +383,7 @@
 
 
 def expected_body(request_id: str, kind: str) -> bytes:
-    if kind != "chat":
+    if kind not in STREAMED_KINDS:
         return f"answer to {request_id}".encode()
     return b"".join(event_bytes(request_id, n) for n in range(1, EVENT_COUNT + 1))
 
@@ -395,6 +411,7 @@
         checker.check_drain(request.request_id, node, engine.engine_id)
         checker.check_hold_off(request.request_id, node, engine.engine_id)
         checker.check_limit(request.request_id, engine)
+        checker.ranks.record_arrival(request, node)
         if engine.retry_after is not None:
             checker.record_hold_off(node, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
@@ -411,7 +428,7 @@
         checker.record_run(request.request_id)
         breaks_off = rng.random() < fault_rates["broken"]
         unframed = rng.random() < fault_rates["unframed"]
-        if request.target.startswith("/chat"):
+        if request.target.split("/")[1] in STREAMED_KINDS:
             await _stream(request, writer, breaks_off, unframed)
             return
         await asyncio.sleep(rng.uniform(0.005, 0.05))
@@ -589,6 +606,8 @@
     :param removes_first: likewise, whether engines leave in turn while calls to the
         store fail at one node after the other.
     :param cuts_first: likewise, whether nodes are cut off from all engines in turn.
+    :param ranks_first: likewise, whether requests have ranks and wait, while ranks
+        change, nodes are killed and engines leave.
     :param version: version of the next configuration.
     :param newest_version: version of the newest configuration. Each has a route of its
         own, named after it.
@@ -614,6 +633,7 @@
     eras_first: bool = False
     removes_first: bool = False
     cuts_first: bool = False
+    ranks_first: bool = False
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
@@ -652,6 +672,7 @@
             await self._start()
             await self._run_faults()
             await self._check_recovery()
+            self.checker.violations += self.checker.ranks.violations()
         finally:
             copies.cancel()
             for expiry in self._expiries:
@@ -755,6 +776,8 @@
         accounts = [{"name": "acme", "apiKeys": valid_keys, "priority": 1}]
         document = configuration(self.version, tenants=accounts)
         document["routes"].append(route(f"v{self.version}", "safe", "booking"))
+        if self.ranks_first:
+            self.checker.ranks.rank(document)
         self.owners.write("op/config", document)
         self.newest_version = self.version
         self.version += self.rng.randint(1, 5)
@@ -764,6 +787,9 @@
         clients = [
             asyncio.create_task(self._client(n, stop)) for n in range(CLIENT_COUNT)
         ]
+        for number in range(RANKED_CLIENT_COUNT if self.ranks_first else 0):
+            ranked = self._client(CLIENT_COUNT + number, stop, RANKED_KINDS)
+            clients.append(asyncio.create_task(ranked))
         end = time.monotonic() + self.seconds
         await self._run_chosen_faults(end)
         while time.monotonic() < end:
@@ -796,6 +822,8 @@
             await self._remove_in_turn(end)
         if self.eras_first:
             await self._change_across_eras(end)
+        if self.ranks_first:
+            await self._disturb_ranked(end)
         if self.crashes_first:
             await self._send_crashing_requests(self.seconds)
 
@@ -1010,6 +1038,32 @@
         self._replace(number)
         self._busy_engines.discard(number)
 
+    async def _disturb_ranked(self, end_s: float) -> None:
+        """Let an engine leave, change ranks and kill a node, and then nothing more."""
+        rng = random.Random(f"ranks {self.seed}")
+        leaving = rng.choice([n for n in range(ENGINE_COUNT) if n % 2])
+        steps = [
+            lambda: self._kill_ranked(rng.choice(self.nodes)),
+            lambda: self._remove(leaving, drains=rng.random() < 0.5),
+            self._rank_anew,
+        ]
+        rng.shuffle(steps)
+        for step in steps:
+            await asyncio.sleep(RANKED_FAULT_INTERVAL_S)
+            self._start_fault(step())
+        await asyncio.sleep(max(0.0, end_s - time.monotonic()))
+
+    async def _rank_anew(self) -> None:
+        self._configure()
+
+    async def _kill_ranked(self, node: NodeProcess) -> None:
+        begin_s = time.monotonic()
+        with self.checker.leaving.disruption("process", node.name):
+            await node.restart(signal.SIGKILL)
+            await self._wait_until_ready(RECOVERY_BOUND_S)
+        self.checker.ranks.record_down(node.name, begin_s)
+        self.checker.excuse_node(node.name)
+
     async def _cut_off_in_turn(self, end_s: float) -> None:
         """Cut off one node or two in each way, and check what callers get there."""
         number = 0
@@ -1117,12 +1171,14 @@
         self._register(number)
         self._busy_engines.discard(number)
 
-    async def _client(self, number: int, stop: asyncio.Event) -> None:
+    async def _client(
+        self, number: int, stop: asyncio.Event, kinds: Sequence[str] = KINDS
+    ) -> None:
         rng = random.Random(self.seed * 1_000 + number)
         sequence = 0
         while not stop.is_set():
             sequence += 1
-            kind = rng.choice(("lookup", "reserve", "chat"))
+            kind = rng.choice(kinds)
             call = Call(f"c{number}-{sequence}", kind, rng.choice(KEYS), 0.0)
             await self._call(call, rng.choice(self.nodes))
             self.checker.check_response(call)
@@ -1135,8 +1191,12 @@
         self.checker.key_by_request[call.request_id] = call.key
         self.checker.sent_s[call.request_id] = call.sent_s
         self.checker.node_by_request[call.request_id] = node.name
+        self.checker.ranks.record_sent(
+            call.request_id, call.kind, node.name, call.sent_s
+        )
         headers: tuple[str, ...] = ()
-        if call.kind == "chat":
+        options = {"deadline_ms": PATIENCE_MS} if call.kind in RANKED_KINDS else {}
+        if call.kind in STREAMED_KINDS:
             self._chats += 1
             headers = (
                 "Tanagerkeel-Token-Count: 1000,430",
@@ -1152,7 +1212,11 @@
                     body=b"" if call.kind == "lookup" else call.request_id.encode(),
                     key=call.key,
                     headers=headers,
+                    **options,
                 )
+        self.checker.ranks.record_end(
+            call.request_id, call.response.status if call.response else 0
+        )
 
     async def _check_recovery(self) -> None:
         for name in self.fault_rates:
@@ -1244,6 +1308,11 @@
     parser.add_argument(
         "--removes", action="store_true", help="let engines leave all the time"
     )
+    parser.add_argument(
+        "--kind",
+        choices=("ranks",),
+        help="let requests have ranks and wait, in place of most other faults",
+    )
     parser.add_argument(
         "--keep",
         type=pathlib.Path,
@@ -1264,12 +1333,16 @@
                     options.program,
                     node_count=options.nodes,
                     removes_first=options.removes,
+                    ranks_first=options.kind == "ranks",
                 )
             )
             if run.checker.violations:
                 failed += 1
                 keep_run(folder, options.keep / f"seed-{seed}", run.checker.violations)
         print(f"seed {seed}: {dict(run.checker.outcomes)} {run.checker.violations[:5]}")
+        if options.kind == "ranks":
+            ranks = run.checker.ranks
+            print(f"{ranks.waited} of {len(ranks.requests)} ranked requests waited")
     print(f"{failed} seeds failed")
     return 1 if failed else 0
 
