--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -52,6 +52,7 @@
     PATIENCE_MS,
     RANKED_CLIENT_COUNT,
     RANKED_KINDS,
+    RANKED_MIX,
     RankChecker,
 )
 from tests.platform.soak_sections import (
@@ -784,12 +785,13 @@
 
     async def _run_faults(self) -> None:
         stop = asyncio.Event()
+        kinds = [KINDS] * CLIENT_COUNT
+        if self.ranks_first:
+            kinds = [KINDS[:2]] * CLIENT_COUNT + [RANKED_MIX] * RANKED_CLIENT_COUNT
         clients = [
-            asyncio.create_task(self._client(n, stop)) for n in range(CLIENT_COUNT)
+            asyncio.create_task(self._client(number, stop, choice))
+            for number, choice in enumerate(kinds)
         ]
-        for number in range(RANKED_CLIENT_COUNT if self.ranks_first else 0):
-            ranked = self._client(CLIENT_COUNT + number, stop, RANKED_KINDS)
-            clients.append(asyncio.create_task(ranked))
         end = time.monotonic() + self.seconds
         await self._run_chosen_faults(end)
         while time.monotonic() < end:
--- a/tests/platform/soak_ranks.py
+++ b/tests/platform/soak_ranks.py
@@ -12,6 +12,7 @@
     "PATIENCE_MS",
     "RANKED_CLIENT_COUNT",
     "RANKED_KINDS",
+    "RANKED_MIX",
     "RankChecker",
     "RankedRequest",
 ]
@@ -21,10 +22,12 @@
 PATIENCE_MS = 4_000
 OBJECTIVE_MS = 3_000
 CHAT_PATIENCE_MS = 2_000
-# Slots of each engine, and clients of these routes beside the others: so many that some
-# requests wait nearly all the time, and most for less than a quarter of their patience.
+# Slots of each engine, and clients of these routes: so many that some requests wait
+# nearly all the time, and most of them for less than a quarter of their patience.
 SLOTS = 2
-RANKED_CLIENT_COUNT = 8
+RANKED_CLIENT_COUNT = 18
+# Routes that these clients choose from.
+RANKED_MIX = (URGENT, URGENT, OTHER, OTHER, OTHER, "chat")
 # From this share of its caller's patience on, a request may be promoted, or have a part
 # of the reserved share. Before, nothing lets it go before one of a more urgent rank.
 PROMOTION_SHARE = 0.25
@@ -33,6 +36,9 @@
 # node's line and from there to the engine, and nodes look for places each 0.05 s.
 SEEN_S = 0.2
 STILL_S = 0.2
+# How many later requests of the same route may begin before one that waits to its end:
+# those that a node was about to place when it took the one for late.
+MAX_PASSING = 1
 # Latest time of an answer after its caller's patience, in seconds.
 SLACK_S = 0.8
 # Latest use of a configuration after it was replaced, in seconds, as for revoked keys.
@@ -52,6 +58,7 @@
     :param sent_s: when it was sent.
     :param arrived_s: when it first reached an engine; infinite if never.
     :param sender: the node that sent it to that engine.
+    :param told: the rank that the engine was told; -1 for none.
     :param ended_s: when its caller got a response or gave up.
     :param status: status of the response; 0 for none, or a broken one.
     """
@@ -62,6 +69,7 @@
     sent_s: float
     arrived_s: float = math.inf
     sender: str = ""
+    told: int = -1
     ended_s: float = math.inf
     status: int = 0
 
@@ -140,16 +148,17 @@
         if math.isinf(request.arrived_s):
             request.arrived_s = now
             request.sender = sender
+            request.told = int(told or -1)
 
     def violations(self) -> Iterator[str]:
         """Yield what broke a guarantee, once the run has ended."""
         yield from self._mistold
         served = [r for r in self.requests.values() if not self._was_down(r)]
         self.waited = sum(_waited_until(r) - r.sent_s > SEEN_S for r in served)
-        yield from filter(None, map(_lost, served))
+        yield from filter(None, map(self._lost, served))
         urgent = [r for r in served if r.kind == URGENT and r.status]
         for other in self.requests.values():
-            if other.kind != OTHER or other.sender != other.node:
+            if other.kind != OTHER:
                 continue
             if other.arrived_s - other.sent_s >= PROMOTION_SHARE * other.patience_s:
                 continue
@@ -169,6 +178,37 @@
             if begin_s <= now and request.sent_s <= end_s:
                 yield ranks[request.kind]
 
+    def _lost(self, request: RankedRequest) -> str | None:
+        """Return what is wrong with the end of a request."""
+        taken_s = request.ended_s - request.sent_s
+        if taken_s > request.patience_s + SLACK_S:
+            return f"LOST {request.request_id} ended after {taken_s:.2f} s"
+        if math.isfinite(request.arrived_s):
+            return None
+        if request.status not in NOT_RUN_STATUSES:
+            return (
+                f"LOST {request.request_id} of {request.kind} at {request.node} got "
+                f"status {request.status} after {taken_s:.2f} s"
+            )
+        if taken_s < request.patience_s:
+            return None
+        # It was refused only when its time was over, which tells its caller nothing.
+        rank = max(self._ranks_in_force(request, request.ended_s))
+        later = [
+            other.request_id
+            for other in self.requests.values()
+            if other.kind == request.kind
+            and other.told >= rank
+            and other.sent_s >= request.sent_s + SEEN_S
+            and _is_passed(request, other)
+        ]
+        if len(later) <= MAX_PASSING:
+            return None
+        return (
+            f"LOST {request.request_id} of {request.kind} at {request.node} waited to "
+            f"its end, and {len(later)} that came later began: {', '.join(later[:3])}"
+        )
+
     def _was_down(self, request: RankedRequest) -> bool:
         return any(
             node == request.node
@@ -182,24 +222,11 @@
     return min(request.arrived_s, request.ended_s)
 
 
-def _is_passed(urgent: RankedRequest, other: RankedRequest) -> bool:
-    """Return whether an urgent request that is on time waited while another began."""
+def _is_passed(request: RankedRequest, other: RankedRequest) -> bool:
+    """Return whether a request that was on time waited while another one began."""
     return (
-        urgent.node == other.node
-        and urgent.sent_s + SEEN_S <= other.arrived_s
-        and other.arrived_s + STILL_S <= _waited_until(urgent)
-        and other.arrived_s <= urgent.sent_s + OBJECTIVE_MS / 1_000
+        request.node == other.node == other.sender
+        and request.sent_s + SEEN_S <= other.arrived_s
+        and other.arrived_s + STILL_S <= _waited_until(request)
+        and other.arrived_s <= request.sent_s + OBJECTIVE_MS / 1_000
     )
-
-
-def _lost(request: RankedRequest) -> str | None:
-    """Return what is wrong with the end of a request that reached no engine."""
-    taken_s = request.ended_s - request.sent_s
-    if taken_s > request.patience_s + SLACK_S:
-        return f"LOST {request.request_id} ended after {taken_s:.2f} s"
-    if math.isinf(request.arrived_s) and request.status not in NOT_RUN_STATUSES:
-        return (
-            f"LOST {request.request_id} of {request.kind} at {request.node} reached no "
-            f"engine and got status {request.status} after {taken_s:.2f} s"
-        )
-    return None
