--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -121,7 +121,7 @@
         ended = self._rules.end(run, now)
         if ended is not None:
             return ended
-        if not place.may_try(line.queue, now):
+        if not line.may_try(place, now):
             return None
         candidates, placement = self._rules.choose(run, now)
         if placement is None or self._rules.defers(run, placement, now):
@@ -189,6 +189,7 @@
             line = self._lines[service] = WaitingLine(
                 self._state.clock.monotonic,
                 lambda: self._state.wait_for_change(RECHECK_INTERVAL_S),
+                lambda: self._state.change_count,
                 self._state.fleet_beliefs.kept_places,
                 self._random,
                 self._on_changed,
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -84,6 +84,7 @@
     :param peers: the nodes whose keys are in the store.
     :param cold_limiter: limits this node's sends to cold backend servers.
     :param fleet_beliefs: what waits at peers, and which backend servers they find slow.
+    :param change_count: how often tasks that wait for a change have been woken.
     """
 
     settings: RelaySettings
@@ -104,6 +105,7 @@
     section_quarantine: SectionQuarantine = attrs.field()
     rate_limits: RateLimitTable = attrs.field()
     fleet_beliefs: FleetBeliefs = attrs.field()
+    change_count: int = 0
     _retry_budgets: dict[str, SharedRetryBudget] = attrs.field(factory=dict)
     _average_call_ms: dict[str, float] = attrs.field(factory=dict)
     _peer_reports: dict[str, PeerReport] = attrs.field(factory=dict)
@@ -248,6 +250,7 @@
 
     def notify_changed(self) -> None:
         """Wake the tasks that wait for a change of running work or of capacity."""
+        self.change_count += 1
         self._change_event.set()
         self._change_event = asyncio.Event()
 
--- a/src/tanagerkeel/relay_entry/_waiting_line.py
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -4,12 +4,14 @@
 Each waiting request has a task of its own, and one task of the line wakes them: one
 after the other, in the order of the queue, and only as many as a change may serve. The
 next one is woken when the one before it has tried, so that it sees what that one took.
+If something has changed since then, the first one tries again before it: what has
+become free is for the most urgent one.
 """
 
 import asyncio
 import itertools
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 
@@ -30,6 +32,9 @@
 # Requests in a row that may try in vain after a change: those behind them need at least
 # as much, or are less urgent. The next change begins with the first one again.
 MAX_VAIN_TRIES = 4
+# How often the first one tries again meanwhile. Then those behind it try whatever has
+# changed: where changes follow each other fast, they would never try otherwise.
+MAX_REPEATS = 2
 # Requests up to which each arrival decides who is refused. In a longer queue this takes
 # milliseconds, and is decided each time that requests are woken.
 MAX_WEIGHED_AT_ONCE = 100
@@ -75,13 +80,14 @@
     waits: bool = False
     logged: bool = False
     _has_turn: bool = False
+    _turn_change: int | None = None
     _turn: asyncio.Event = attrs.field(factory=asyncio.Event)
     _tried: asyncio.Event = attrs.field(factory=asyncio.Event)
     _took: bool = False
 
-    def may_try(self, queue: WaitingQueue, now: float) -> bool:
-        """Return whether it is the request's turn: it was woken, or goes first."""
-        return self._has_turn or next(queue.in_order(now), None) is self.request
+    def has_turn(self, change_count: int) -> bool:
+        """Return whether the request was woken, and its turn isn't over."""
+        return self._has_turn and self._turn_change in (None, change_count)
 
     async def wait_turn(self) -> None:
         """Wait until the request may try again, or is turned away."""
@@ -90,8 +96,14 @@
         self._tried.set()
         await self._turn.wait()
 
-    async def give_turn(self) -> bool:
-        """Let the request try; return whether it took a backend server."""
+    async def give_turn(self, change_count: int | None) -> bool:
+        """
+        Let the request try; return whether it took a backend server.
+
+        :param change_count: the turn is over with the next change; None for one that
+            isn't.
+        """
+        self._turn_change = change_count
         self._tried.clear()
         self._has_turn = True
         self._turn.set()
@@ -116,6 +128,7 @@
 
     :param clock: returns the monotonic time, in seconds.
     :param wait_for_change: waits until something may have changed for a request.
+    :param change_count: returns how often something has changed.
     :param kept_places: places kept for callers that were told when to return.
     :param random: spreads the times at which refused callers return.
     :param on_changed: called when a request has begun or ceased to wait.
@@ -123,6 +136,7 @@
 
     _clock: Callable[[], float]
     _wait_for_change: Callable[[], Awaitable[None]]
+    _change_count: Callable[[], int]
     _kept_places: KeptPlaces
     _random: random.Random
     _on_changed: Callable[[], None]
@@ -150,6 +164,13 @@
             self._turn_away(now)
         return place
 
+    def may_try(self, place: WaitingPlace, now: float) -> bool:
+        """Return whether it is a request's turn: it was woken, or goes first."""
+        return (
+            place.has_turn(self._change_count())
+            or next(self.queue.in_order(now), None) is place.request
+        )
+
     def start_waiting(self, place: WaitingPlace) -> None:
         """Wake a request from now on that can't be placed at once."""
         if self._task is None:
@@ -191,17 +212,22 @@
             self._task = None
 
     async def _wake_in_order(self) -> None:
-        vain = 0
-        # A copy: the queue changes while requests try.
-        order = tuple(itertools.islice(self.queue.in_order(self._clock()), MAX_WOKEN))
-        for request in order:
-            place = self._places.get(request)
-            if place is None or place.turned_away is not None:
+        vain = repeats = 0
+        change, order = self._change_count(), self._first_ones()
+        while vain < MAX_VAIN_TRIES and (place := next(order, None)) is not None:
+            if repeats < MAX_REPEATS and self._change_count() != change:
+                repeats += 1
+                change, order = self._change_count(), self._first_ones()
                 continue
-            if not await place.give_turn():
+            if not await place.give_turn(change if repeats < MAX_REPEATS else None):
                 vain += 1
-            if vain >= MAX_VAIN_TRIES:
-                return
+
+    def _first_ones(self) -> Iterator[WaitingPlace]:
+        """Yield the places of those that go first now, as far as they still wait."""
+        # A copy: the queue changes while requests try.
+        order = tuple(itertools.islice(self.queue.in_order(self._clock()), MAX_WOKEN))
+        places = map(self._places.get, order)
+        return (p for p in places if p is not None and p.turned_away is None)
 
     def _turn_away(self, now: float) -> None:
         per_s = self._rate.per_s(now)
--- a/tests/platform/test_waiting_order.py
+++ b/tests/platform/test_waiting_order.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import contextlib
+import random
+import time
 
 import attrs
 
+from tanagerkeel.queueing import CallerCost, KeptPlaces, WaitingRequest
+from tanagerkeel.relay_entry._waiting_line import WaitingLine
 from tests.platform.fixtures import (
     CHUNKED_HEADERS,
     chunk,
@@ -195,5 +199,72 @@
         assert _waiting(relay) == {}
 
 
+@attrs.define
+class _OnePlace:
+    """A line for a single place, which is freed after a request tried in vain."""
+
+    line: WaitingLine = attrs.field(init=False)
+    free_after: str | None = None
+    free: int = 0
+    started: list[str] = attrs.field(factory=list)
+    _changes: int = 0
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.line = WaitingLine(
+            time.monotonic,
+            self._wait_for_change,
+            lambda: self._changes,
+            KeptPlaces(),
+            random.Random(1),
+            lambda: None,
+        )
+
+    async def _wait_for_change(self) -> None:
+        await self._changed.wait()
+        self._changed.clear()
+
+    def change(self, freed: int = 0) -> None:
+        self.free += freed
+        self._changes += 1
+        self._changed.set()
+
+    async def request(self, name: str, rank: int) -> None:
+        """Join the line, and try in turn until the place is free."""
+        now = time.monotonic()
+        request = WaitingRequest(
+            name, "", rank, CallerCost(1.0, 0.5), 5.0, now, now + 10.0, now + 20.0
+        )
+        place = self.line.join(request, name)
+        while not (self.line.may_try(place, time.monotonic()) and self._take(name)):
+            self.line.start_waiting(place)
+            await place.wait_turn()
+        self.line.take(place)
+
+    def _take(self, name: str) -> bool:
+        if self.free:
+            self.free -= 1
+            self.started.append(name)
+            return True
+        if self.free_after == name:
+            self.free_after = None
+            asyncio.get_running_loop().call_soon(self.change, 1)
+        return False
+
+
+async def test_a_place_freed_between_two_tries_goes_to_the_less_urgent_one():
+    place = _OnePlace()
+    async with asyncio.timeout(5.0), asyncio.TaskGroup() as requests:
+        for name, rank in (("urgent", 0), ("other", 1)):
+            requests.create_task(place.request(name, rank))
+        await asyncio.sleep(0.01)
+        place.free_after = "urgent"
+        place.change()
+        await asyncio.sleep(0.05)
+        assert place.started == ["urgent"]
+        place.change(1)
+    assert place.started == ["urgent", "other"]
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
