--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -184,5 +184,29 @@
     )
 
 
+def test_requests_with_ranks_that_wait_go_in_order_and_are_not_lost():
+    checker = _run(seconds=8.0, ranks_first=True)
+    assert checker.ranks.waited > 20, checker.ranks.waited
+    assert not checker.violations, checker.violations
+
+
+def test_what_waits_out_of_order_or_is_lost_or_has_no_rank_is_detected():
+    for mutant, word, seconds in (
+        ("ignores_ranks.py", "PASSED", 6.0),
+        ("loses_its_turn.py", "LOST", 6.0),
+        ("tells_no_rank.py", "TOLD", 2.0),
+    ):
+        checker = _run(
+            seconds=seconds,
+            program=str(MUTANTS / mutant),
+            fault_rate=0.0,
+            ranks_first=True,
+        )
+        assert any(line.startswith(word) for line in checker.violations), (
+            mutant,
+            checker.violations[:3],
+        )
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
