--- a/src/tanagerkeel/relay/_estimate.py
+++ b/src/tanagerkeel/relay/_estimate.py
@@ -58,7 +58,7 @@
 # Share of its weight that a request may lose in another failure domain where many nodes
 # send: of most requests there this node learns when they have ended. It lies between
 # the losses of a short request on the last slot but one and on the last slot.
-UNSEEN_DOMAIN_LOSS = 0.15
+UNSEEN_DOMAIN_LOSS = 0.18
 # The same for a short request to a failure domain whose load was reported, and what its
 # age adds, for each second. A send there costs a message to each node, so that it pays
 # when the own engines have a slot or two left and the others half. A report of the age
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -52,8 +52,8 @@
 # Share of its weight by which the loss of a short request varies with a hash of the
 # request and the engine where many nodes send: those that place within some
 # milliseconds would all choose the one engine with the fewest assignments. It is the
-# loss by one more assignment where two thirds of the slots are taken.
-SPREAD_LOSS = 0.06
+# loss by one more assignment where half of the slots are taken.
+SPREAD_LOSS = 0.03
 # Factor of the group size for long prompts, as each takes several engines at once.
 LONG_GROUP_FACTOR = 3
 # From this number of open engines in the node's own failure domain on, long prompts
--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -130,7 +130,7 @@
             if placement is not None:
                 return None
             refusal = self._rules.unplaceable(run, candidates, now)
-            return refusal or self._refusal_if_too_late(place.request, now)
+            return refusal or self._refusal_if_late(place.request, now)
         if self._yields(run, place, now):
             self._log_waiting(run, line, place, candidates, now)
             return None
@@ -157,15 +157,20 @@
             free_for_s=times.free_for_s(now),
         )
 
-    def _refusal_if_too_late(
-        self, request: WaitingRequest, now: float
-    ) -> Refusal | None:
-        if now < request.last_start_s:
+    def _refusal_if_late(self, request: WaitingRequest, now: float) -> Refusal | None:
+        """
+        Return why a request is refused that missed its objective while it waited.
+
+        Most of what it is worth to its caller is lost, and its wait would only end with
+        the caller's patience while all backend servers stay full.
+        """
+        if now <= request.due_s:
             return None
+        self._metrics.turned_away.labels("late").inc()
         return Refusal(
             ResultCode.OVERLOADED,
-            f"no backend server was free for {now - request.arrived_s:.2f} s, and the "
-            "caller doesn't wait for longer than its work takes",
+            f"late: no backend server was free for {now - request.arrived_s:.2f} s; "
+            f"rank {request.rank}, account {request.account or None}",
             retry_after_s(request, 0.0, request.work_ms, 0.0, now, self._random),
         )
 
@@ -189,6 +194,7 @@
             line = self._lines[service] = WaitingLine(
                 self._state.clock.monotonic,
                 lambda: self._state.wait_for_change(RECHECK_INTERVAL_S),
+                lambda: self._state.change_count,
                 self._state.fleet_beliefs.kept_places,
                 self._random,
                 self._on_changed,
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -6,7 +6,11 @@
 import attrs
 
 from tanagerkeel.queueing import CallerCost, KeptPlaces, WaitingRequest
-from tanagerkeel.relay_entry._waiting_line import MAX_VAIN_TRIES, WaitingLine
+from tanagerkeel.relay_entry._waiting_line import (
+    MAX_VAIN_TRIES,
+    MIN_ROUND_INTERVAL_S,
+    WaitingLine,
+)
 from tests.support import collect
 
 
@@ -14,6 +18,7 @@
 class _Changes:
     """Changes of state that a test brings about."""
 
+    count: int = 0
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
 
     def wait(self) -> asyncio.Future:
@@ -22,11 +27,11 @@
         return waiter
 
     async def happen(self) -> None:
+        self.count += 1
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             waiter.set_result(None)
-        for _ in range(50):
-            await asyncio.sleep(0)
+        await asyncio.sleep(2 * MIN_ROUND_INTERVAL_S)
 
 
 @attrs.define
@@ -45,6 +50,7 @@
         self.line = WaitingLine(
             lambda: self.now,
             self.changes.wait,
+            lambda: self.changes.count,
             KeptPlaces(),
             random.Random(1),
             lambda: None,
