--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -405,6 +405,7 @@
             route=run.admitted.route.name,
             version=run.admitted.version,
             account=run.admitted.account.name if run.admitted.account else None,
+            rank=run.admitted.rank.position if run.admitted.rank else None,
             prompt_tokens=model_demand.prompt_tokens if model_demand else None,
             backend=placement.candidate.server.backend_id,
             # What this node believes of the backend server, and since when.
