--- a/src/tanagerkeel/early_listener.py
+++ b/src/tanagerkeel/early_listener.py
@@ -18,9 +18,13 @@
 
 # Limit of connections that wait to be accepted.
 BACKLOG = 1_024
-# A VM with less processor time than this, in cores, takes a second or longer to load
-# the program. A faster one is ready before callers that were refused have given up.
-SLOW_START_CPU = 0.6
+# Processor time of VMs on which a node listens early, in cores. Below the upper bound it
+# takes a second or longer to load the program; a faster VM is ready before callers that
+# were refused have given up. Below the lower bound it takes two seconds or longer: a
+# caller would give up while its connection waits, and is better refused, as it may
+# reach a node that is ready.
+MIN_CPU = 0.3
+MAX_CPU = 0.6
 
 
 def bind_tcp(host: str, port: int) -> socket.socket:
@@ -47,7 +51,7 @@
     """
     Return a socket that listens where the settings say that callers connect.
 
-    It is None where the VM starts fast, and where the settings or the address can't be
+    It is None where the VM starts fast or very slowly, and where the settings or the address can't be
     used: whoever validates the settings reports what is wrong.
 
     :param settings: the node's settings, a JSON file.
@@ -56,10 +60,8 @@
         if not settings.is_file():
             return None
         fields = json.loads(settings.read_bytes())
-        if (
-            fields.get("cpu_share", 1.0) * fields.get("cpu_cores", 1.0)
-            >= SLOW_START_CPU
-        ):
+        cpu = fields.get("cpu_share", 1.0) * fields.get("cpu_cores", 1.0)
+        if not MIN_CPU <= cpu < MAX_CPU:
             return None
         host, _, port = fields["callers_listen"].rpartition(":")
         listening = bind_tcp(host, int(port))
--- a/tests/platform/test_early_listener.py
+++ b/tests/platform/test_early_listener.py
@@ -15,6 +15,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SMALL_VM = {"cpu_share": 0.36, "cpu_cores": 1}
 LARGE_VM = {"cpu_share": 0.72, "cpu_cores": 3}
+# It loads the program for longer than a caller leaves its request unread.
+TINY_VM = {"cpu_share": 0.12, "cpu_cores": 1}
 
 
 def _free_addresses(count: int) -> list[str]:
@@ -113,6 +115,7 @@
     invalid = (
         _settings(addresses),
         _settings(addresses, **LARGE_VM),
+        _settings(addresses, **TINY_VM),
         {**valid, "callers_listen": "nowhere"},
         {**valid, "callers_listen": "127.0.0.1:99999"},
         {**valid, "callers_listen": 7},
