--- a/src/tanagerkeel/early_listener.py
+++ b/src/tanagerkeel/early_listener.py
@@ -18,10 +18,10 @@
 
 # Limit of connections that wait to be accepted.
 BACKLOG = 1_024
-# Processor time of VMs on which a node listens early, in cores. Below the upper bound it
-# takes a second or longer to load the program; a faster VM is ready before callers that
-# were refused have given up. Below the lower bound it takes two seconds or longer: a
-# caller would give up while its connection waits, and is better refused, as it may
+# Processor time of VMs on which a node listens early, in cores. Below the upper bound
+# it takes a second or longer to load the program; a faster VM is ready before callers
+# that were refused have given up. Below the lower bound it takes two seconds or longer:
+# a caller would give up while its connection waits, and is better refused, as it may
 # reach a node that is ready.
 MIN_CPU = 0.3
 MAX_CPU = 0.6
@@ -51,8 +51,8 @@
     """
     Return a socket that listens where the settings say that callers connect.
 
-    It is None where the VM starts fast or very slowly, and where the settings or the address can't be
-    used: whoever validates the settings reports what is wrong.
+    It is None where the VM starts fast or very slowly, and where the settings or the
+    address can't be used: whoever validates the settings reports what is wrong.
 
     :param settings: the node's settings, a JSON file.
     """
--- a/src/tanagerkeel/relay/_placement.py
+++ b/src/tanagerkeel/relay/_placement.py
@@ -14,9 +14,10 @@
 every node of the fleet.
 
 In a fleet of many senders, long prompts that arrive within some milliseconds don't know
-each other, and the same order would send them to the same engines. There, a hash of
-the request alone decides between the engines of a failure domain where it loses least.
-Short requests there prefer less strictly the engine with the fewest assignments.
+each other, and the same order would send them to the same engines. There, a hash of the
+request decides between the last half of the engines, where it loses least. Short ones
+would all go to the engine with the fewest requests, as far as their nodes know, so that
+they prefer it less strictly.
 """
 
 import itertools
@@ -184,7 +185,7 @@
 
 def _group_size(engines: int, long_prompt: bool, many_senders: bool) -> int:
     if long_prompt and many_senders:
-        return max(1, engines)
+        return max(1, engines // 2)
     group_size = 1 + engines // ENGINES_PER_GROUP_MEMBER
     return group_size * LONG_GROUP_FACTOR if long_prompt else group_size
 
