--- a/src/tanagerkeel/queueing/__init__.py
+++ b/src/tanagerkeel/queueing/__init__.py
@@ -22,6 +22,7 @@
     should_yield,
 )
 from tanagerkeel.queueing._return_time import bounded_s, retry_after_s
+from tanagerkeel.queueing._standing import effective_rank
 from tanagerkeel.queueing._waiting_queue import RankBacklog, WaitingQueue, WorkAhead
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
 from tanagerkeel.queueing._yield_times import YieldTimes
@@ -52,6 +53,7 @@
     "backlog_reports",
     "bounded_s",
     "choose_rejections",
+    "effective_rank",
     "expected_wait_s",
     "is_feasible",
     "retry_after_s",
--- a/src/tanagerkeel/queueing/_standing.py
+++ b/src/tanagerkeel/queueing/_standing.py
@@ -12,7 +12,14 @@
 from tanagerkeel.queueing._account_flow import Order
 from tanagerkeel.queueing._waiting_request import LOWEST_RANK, WaitingRequest
 
-__all__ = ["LOSS_STEP", "PROMOTION_SHARE", "Standing", "clamped_rank", "standing"]
+__all__ = [
+    "LOSS_STEP",
+    "PROMOTION_SHARE",
+    "Standing",
+    "clamped_rank",
+    "effective_rank",
+    "standing",
+]
 
 # Share of its caller's patience after which a request counts as one rank more urgent.
 PROMOTION_SHARE = 0.25
@@ -73,6 +80,11 @@
     )
 
 
+def effective_rank(request: WaitingRequest, now: float) -> int:
+    """Return the rank of a request with its promotions, as peers are told it."""
+    return standing(request, now).rank
+
+
 def _order(request: WaitingRequest, is_late: bool) -> Order:
     if is_late:
         return (1.0, request.give_up_s, request.arrived_s)
--- a/src/tanagerkeel/relay_entry/_fleet_beliefs.py
+++ b/src/tanagerkeel/relay_entry/_fleet_beliefs.py
@@ -103,10 +103,10 @@
         :param kept_places: places that it keeps, or that were claimed there.
         :param now: monotonic time, in seconds.
         """
+        if self.shares_slow:
+            self.slow.merge(node, slow_servers, now)
         if self.enabled:
             self.backlogs.merge(node, backlogs, now)
-            if self.shares_slow:
-                self.slow.merge(node, slow_servers, now)
             self.kept_places.merge(kept_places, now)
 
     def remove_peer(self, node: str) -> None:
--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -13,7 +13,12 @@
 
 from tanagerkeel.errors import ResultCode
 from tanagerkeel.events import LogEvent, log
-from tanagerkeel.queueing import WaitingRequest, retry_after_s, should_yield
+from tanagerkeel.queueing import (
+    WaitingRequest,
+    effective_rank,
+    retry_after_s,
+    should_yield,
+)
 from tanagerkeel.relay import RelayPlacement, prefill_ms
 from tanagerkeel.relay_entry._admit import Refusal
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -154,6 +159,9 @@
             service,
             times.waited_s(now),
             now,
+            # Peers report ranks with promotions. Without them here, all nodes with
+            # a promoted request would yield to each other.
+            rank=effective_rank(place.request, now),
             free_for_s=times.free_for_s(now),
         )
 
--- a/src/tanagerkeel/relay_entry/_placer.py
+++ b/src/tanagerkeel/relay_entry/_placer.py
@@ -201,8 +201,10 @@
 
     def _many_senders(self) -> bool:
         """Return whether this node learns of most sends of others late."""
-        nodes = len(self._state.peers.others) + 1
-        return self._state.settings.placement.many_senders(nodes)
+        placement = self._state.settings.placement
+        return placement.many_senders_from is not None and placement.many_senders(
+            len(self._state.peers.others) + 1
+        )
 
     def _demand(self, run: RelayRun, now: float) -> Demand:
         average_call_ms = self._state.average_call_ms(run.admitted.service.name)
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -231,7 +231,9 @@
         placement = await self._placer.place(run)
         match placement:
             case RelayPlacement() if self._placer.settles(run, placement):
-                return await self._sender.settle(run, placement)
+                settled = await self._sender.settle(run, placement)
+                # If none is possible any more, it waits like any other request.
+                return settled or await self._placer.place(run)
             case _:
                 return placement
 
--- a/src/tanagerkeel/relay_entry/_sender.py
+++ b/src/tanagerkeel/relay_entry/_sender.py
@@ -157,11 +157,15 @@
         """Return whether the backend server of a connection that broke has crashed."""
         return await self._outcome_recorder.has_crashed(server)
 
-    async def settle(self, run: RelayRun, placement: RelayPlacement) -> RelayPlacement:
+    async def settle(
+        self, run: RelayRun, placement: RelayPlacement
+    ) -> RelayPlacement | None:
         """
         Announce a placement to the peers, and return the best one a moment later.
 
         By then the announcements of peers that chose at the same moment are known.
+
+        :returns: None if no placement is possible any more.
         """
         run.settled = True
         now = self._state.clock.monotonic()
@@ -182,7 +186,8 @@
                 self._state.assignments.discard(assignment)
         settled = self._best_placement(run)
         if settled is None:
-            return placement
+            self._peer_updates.notify_work_progressed(placement.affects_other_domains)
+            return None
         if settled.candidate.server != placement.candidate.server:
             log(
                 LogEvent.RELAY_PLACEMENT_CHANGED,
--- a/src/tanagerkeel/relay_entry/_waiting_line.py
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -29,8 +29,8 @@
 
 __all__ = ["TurnedAway", "WaitingLine", "WaitingPlace"]
 
-# Requests in a row that may try in vain after a change: those behind them need at least
-# as much, or are less urgent. The next change begins with the first one again.
+# Requests that may try in vain after a change, so that a change costs a bounded number
+# of tries. The round after the next change goes on with those behind them.
 MAX_VAIN_TRIES = 4
 # How often the first one tries again meanwhile. Then those behind it try whatever has
 # changed: where changes follow each other fast, they would never try otherwise.
@@ -40,6 +40,8 @@
 MAX_WEIGHED_AT_ONCE = 100
 # Requests that are woken after one change at most; the next change begins anew.
 MAX_WOKEN = 32
+# Requests of the order that one round looks at.
+MAX_SCANNED = 256
 # Shortest time between two rounds of tries while all are in vain, in seconds: under
 # load something changes every few milliseconds, and a try compares all servers.
 MIN_ROUND_INTERVAL_S = 0.01
@@ -147,6 +149,8 @@
     _rate: DrainRate = attrs.field(factory=DrainRate)
     _places: dict[WaitingRequest, WaitingPlace] = attrs.field(factory=dict)
     _task: asyncio.Task | None = None
+    # Requests that have tried in vain since one was taken, or since all had tried.
+    _in_vain: set[WaitingRequest] = attrs.field(factory=set)
     # Whether the last round ended with as many tries in vain as a round may have.
     _is_full: bool = False
     # The count of changes when all whose turn it was had tried; None while none waits.
@@ -196,6 +200,7 @@
         now = self._clock()
         del self._places[place.request]
         self.queue.take(place.request, now)
+        self._in_vain.clear()
         self._rate.record_started(place.request.work_ms, now, len(self._places))
         place.end(took=True)
         if place.waits:
@@ -206,6 +211,7 @@
         if self._places.pop(place.request, None) is None:
             return
         self.queue.remove(place.request)
+        self._in_vain.discard(place.request)
         place.end(took=False)
         if place.waits:
             self._on_changed()
@@ -238,12 +244,25 @@
                 continue
             if not await place.give_turn(change if repeats < MAX_REPEATS else None):
                 vain += 1
+                self._in_vain.add(place.request)
+        if vain < MAX_VAIN_TRIES:
+            # All have tried: the next round begins anew.
+            self._in_vain.clear()
         self._is_full = vain >= MAX_VAIN_TRIES
 
     def _first_ones(self) -> Iterator[WaitingPlace]:
-        """Yield the places of those that go first now, as far as they still wait."""
+        """
+        Yield the places of those that go first now, as far as they still wait.
+
+        The first one always tries; behind it, those that have tried in vain since
+        something was taken are left out, so that they don't block the others.
+        """
         # A copy: the queue changes while requests try.
-        order = tuple(itertools.islice(self.queue.in_order(self._clock()), MAX_WOKEN))
+        in_order = tuple(
+            itertools.islice(self.queue.in_order(self._clock()), MAX_SCANNED)
+        )
+        behind = (r for r in in_order[1:] if r not in self._in_vain)
+        order = (*in_order[:1], *itertools.islice(behind, MAX_WOKEN))
         places = map(self._places.get, order)
         return (p for p in places if p is not None and p.turned_away is None)
 
--- a/tests/platform/test_announced_placements.py
+++ b/tests/platform/test_announced_placements.py
@@ -81,7 +81,7 @@
 
 def _ids_of_equal_first_choice(engines):
     """Return the ids of two requests with one first choice and two second ones."""
-    (one, first, second), *rest = itertools.islice(_choices(engines), 50)
+    (one, first, second), *rest = itertools.islice(_choices(engines), 200)
     other = next(r for r, f, s in rest if f == first and s != second)
     return one, other
 
@@ -123,13 +123,14 @@
 
 
 async def test_two_long_prompts_at_one_moment_take_different_engines():
-    ids = _ids_of_equal_first_choice(4)
-    async with _announcing_relay(4) as relay:
+    # Long prompts choose between the last half of the engines.
+    ids = _ids_of_equal_first_choice(8)
+    async with _announcing_relay(8) as relay:
         assert max(await _call_at_both_nodes(relay, ids)) == 1
         assert all(node.state.assignments.own == () for node in relay.nodes)
     # Without the check, both are sent to their first choice.
     with unittest.mock.patch.object(RelayPlacer, "settles", return_value=False):
-        async with _announcing_relay(4) as relay:
+        async with _announcing_relay(8) as relay:
             assert max(await _call_at_both_nodes(relay, ids)) == 2
 
 
--- a/tests/test_relay_updates_across_builds.py
+++ b/tests/test_relay_updates_across_builds.py
@@ -229,6 +229,10 @@
     assert _known(state) == (["n2"], [])
     state, task = _enabled()
     state.fleet_beliefs.enabled = False
+    _receive(task, [[ASSIGNMENT], *REST, 5_000, [BACKLOG], [SLOW]], 1)
+    assert _known(state) == ([], ["n2"])
+    state, task = _enabled()
+    state.fleet_beliefs.enabled = state.fleet_beliefs.shares_slow = False
     _receive(task, [[ASSIGNMENT], *REST, 5_000, [BACKLOG], [SLOW]])
     assert _known(state) == ([], [])
 
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -43,6 +43,7 @@
     now: float = 0.0
     tries: list[str] = attrs.field(factory=list)
     placed: list[str] = attrs.field(factory=list)
+    needs_two: set[str] = attrs.field(factory=set)
     line: WaitingLine = attrs.field(init=False)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
@@ -70,8 +71,9 @@
             while place.turned_away is None:
                 if self.line.may_try(place):
                     self.tries.append(request.request_id)
-                    if self.free:
-                        self.free -= 1
+                    needed = 2 if request.request_id in self.needs_two else 1
+                    if self.free >= needed:
+                        self.free -= needed
                         self.line.take(place)
                         self.placed.append(request.request_id)
                         return True
@@ -151,5 +153,16 @@
     assert "r39" not in fleet.placed
 
 
+async def test_requests_that_can_not_be_placed_block_all_behind_them():
+    fleet = _Fleet(needs_two={f"large-{n}" for n in range(MAX_VAIN_TRIES + 2)})
+    for number in range(MAX_VAIN_TRIES + 2):
+        await fleet.arrive(f"large-{number}", rank=0)
+    await fleet.arrive("small", rank=1)
+    # One place is free, and each of the large ones needs two.
+    for _ in range(3):
+        await fleet.free_places(0 if fleet.free else 1)
+    assert fleet.placed == ["small"]
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
