--- a/src/tanagerkeel/early_listener.py
+++ b/src/tanagerkeel/early_listener.py
@@ -65,7 +65,7 @@
             return None
         host, _, port = fields["callers_listen"].rpartition(":")
         listening = bind_tcp(host, int(port))
+        listening.listen(BACKLOG)
     except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError):
         return None
-    listening.listen(BACKLOG)
     return listening
--- a/src/tanagerkeel/relay_entry/_ordered_placement.py
+++ b/src/tanagerkeel/relay_entry/_ordered_placement.py
@@ -99,8 +99,8 @@
                 now = self._state.clock.monotonic()
                 outcome = self._end_or_try(run, line, place, now)
                 if isinstance(outcome, RelayPlacement):
-                    line.take(place)
                     self._taken[run] = line, place
+                    line.take(place)
                 if outcome is not None:
                     return outcome
                 line.start_waiting(place)
@@ -220,7 +220,10 @@
     def _describe(self, run: RelayRun) -> WaitingRequest:
         now = self._state.clock.monotonic()
         admitted = run.admitted
-        fingerprint = run.fingerprint
+        if run.returned is None:
+            # Claimed once, also if the request is placed again after a failed send.
+            kept_places = self._state.fleet_beliefs.kept_places
+            run.returned = kept_places.claim(run.fingerprint, now)
         return WaitingRequest(
             request_id=run.request.request_id,
             account=admitted.account.name if admitted.account else "",
@@ -230,7 +233,7 @@
             arrived_s=run.request.arrived_s,
             due_s=run.objective_due_s,
             give_up_s=run.next_event_deadline_s,
-            returned=self._state.fleet_beliefs.kept_places.claim(fingerprint, now),
+            returned=run.returned,
         )
 
     def _work_ms(self, run: RelayRun) -> float:
--- a/src/tanagerkeel/relay_entry/_run.py
+++ b/src/tanagerkeel/relay_entry/_run.py
@@ -53,6 +53,8 @@
     :param events: number of events forwarded to the caller.
     :param first_s: when the first event, or the whole response, was forwarded.
     :param placed_s: when a backend server was first chosen.
+    :param returned: whether its caller was refused before and came back as told; None
+        before this is known.
     :param settled: whether its first placement was announced before the send.
     :param last_event_s: when the last event was forwarded.
     :param longest_gap_s: longest pause between forwarded events so far, in seconds.
@@ -78,6 +80,7 @@
     events: int = 0
     first_s: float | None = None
     placed_s: float | None = None
+    returned: bool | None = None
     settled: bool = False
     last_event_s: float | None = None
     longest_gap_s: float = 0.0
--- a/src/tanagerkeel/relay_entry/_waiting_line.py
+++ b/src/tanagerkeel/relay_entry/_waiting_line.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from tanagerkeel.events import LogEvent, log
 from tanagerkeel.queueing import (
     DrainRate,
     KeptPlaces,
@@ -35,9 +36,10 @@
 # How often the first one tries again meanwhile. Then those behind it try whatever has
 # changed: where changes follow each other fast, they would never try otherwise.
 MAX_REPEATS = 2
-# Requests up to which each arrival decides who is refused. In a longer queue this takes
-# milliseconds, and is decided each time that requests are woken.
+# Requests up to which each arrival, and each round of tries, decides who is refused. In
+# a longer queue this takes milliseconds, and is decided at this interval, in seconds.
 MAX_WEIGHED_AT_ONCE = 100
+WEIGH_INTERVAL_S = 0.05
 # Requests that are woken after one change at most; the next change begins anew.
 MAX_WOKEN = 32
 # Requests of the order that one round looks at.
@@ -151,8 +153,10 @@
     _task: asyncio.Task | None = None
     # Requests that have tried in vain since one was taken, or since all had tried.
     _in_vain: set[WaitingRequest] = attrs.field(factory=set)
-    # Whether the last round ended with as many tries in vain as a round may have.
-    _is_full: bool = False
+    # Whether the last round had as many tries in vain as a round may have.
+    _all_in_vain: bool = False
+    # When a long queue is weighed next.
+    _weigh_due_s: float = 0.0
     # The count of changes when all whose turn it was had tried; None while none waits.
     _tried_change: int | None = None
 
@@ -171,8 +175,11 @@
         place = WaitingPlace(request, fingerprint)
         self.queue.push(request, now)
         self._places[request] = place
-        if len(self._places) <= MAX_WEIGHED_AT_ONCE:
-            self._turn_away(now)
+        try:
+            self._turn_away_if_due(now)
+        except BaseException:
+            self.leave(place)
+            raise
         return place
 
     def may_try(self, place: WaitingPlace) -> bool:
@@ -223,32 +230,47 @@
     async def _wake_until_empty(self) -> None:
         try:
             while self._places:
-                self._turn_away(self._clock())
-                await self._wake_in_order()
+                try:
+                    self._turn_away_if_due(self._clock())
+                    more_may_end = await self._wake_in_order()
+                except Exception as error:  # those that wait must still be woken
+                    log(LogEvent.TASK_FAILED, task="line", error=repr(error))
+                    await asyncio.sleep(MIN_ROUND_INTERVAL_S)
+                    continue
+                if more_may_end:
+                    continue
                 self._tried_change = self._change_count()
                 await self._wait_for_change()
-                if self._is_full:
+                if self._all_in_vain:
                     await asyncio.sleep(MIN_ROUND_INTERVAL_S)
         finally:
             self._task = None
             self._tried_change = None
 
-    async def _wake_in_order(self) -> None:
-        vain = repeats = 0
+    async def _wake_in_order(self) -> bool:
+        """
+        Let requests try, who goes first at the front.
+
+        :returns: whether many have ended their wait, so that others may as well.
+        """
+        vain = ended = repeats = 0
         change, order = self._change_count(), self._first_ones()
-        self._is_full = False
         while vain < MAX_VAIN_TRIES and (place := next(order, None)) is not None:
             if repeats < MAX_REPEATS and self._change_count() != change:
                 repeats += 1
                 change, order = self._change_count(), self._first_ones()
                 continue
-            if not await place.give_turn(change if repeats < MAX_REPEATS else None):
+            await place.give_turn(change if repeats < MAX_REPEATS else None)
+            if place.request in self._places:
                 vain += 1
                 self._in_vain.add(place.request)
+            else:
+                ended += 1
         if vain < MAX_VAIN_TRIES:
             # All have tried: the next round begins anew.
             self._in_vain.clear()
-        self._is_full = vain >= MAX_VAIN_TRIES
+        self._all_in_vain = vain >= MAX_VAIN_TRIES
+        return ended >= MAX_WOKEN - MAX_VAIN_TRIES
 
     def _first_ones(self) -> Iterator[WaitingPlace]:
         """
@@ -266,30 +288,58 @@
         places = map(self._places.get, order)
         return (p for p in places if p is not None and p.turned_away is None)
 
+    def _turn_away_if_due(self, now: float) -> None:
+        if len(self._places) <= MAX_WEIGHED_AT_ONCE or now >= self._weigh_due_s:
+            self._weigh_due_s = now + WEIGH_INTERVAL_S
+            self._turn_away(now)
+
     def _turn_away(self, now: float) -> None:
         per_s = self._rate.per_s(now)
-        rejections = choose_rejections(self.queue.in_order(now), per_s, now)
+        waiting = (
+            request
+            for request in self.queue.in_order(now)
+            if self._places[request].turned_away is None
+        )
+        rejections = choose_rejections(waiting, per_s, now)
         if not rejections:
             return
         refused_ms = sum(r.request.work_ms for r in rejections)
+        ahead = self._work_ahead({r.request for r in rejections}, now)
         for rejection in rejections:
-            place = self._places.get(rejection.request)
-            if place is not None and place.turned_away is None:
-                place.turn_away(self._decide(place, rejection, refused_ms, per_s, now))
+            place = self._places[rejection.request]
+            decision = self._decide(
+                place, rejection, ahead[rejection.request], refused_ms, per_s, now
+            )
+            place.turn_away(decision)
+
+    def _work_ahead(
+        self, requests: set[WaitingRequest], now: float
+    ) -> dict[WaitingRequest, WorkAhead]:
+        """Return what goes before each of the requests, in one walk over the queue."""
+        ahead: dict[WaitingRequest, WorkAhead] = {}
+        work_ms = 0.0
+        for count, request in enumerate(self.queue.in_order(now)):
+            if request in requests:
+                ahead[request] = WorkAhead(count, work_ms)
+            work_ms += request.work_ms
+        return ahead
 
     def _decide(
         self,
         place: WaitingPlace,
         rejection: Rejection,
+        ahead: WorkAhead,
         refused_ms: float,
         per_s: float,
         now: float,
     ) -> TurnedAway:
         request = place.request
-        ahead = self.queue.ahead_of(request, now)
-        until_s = request.give_up_s + KEPT_FOR_S
         kept = self._kept_places.keep(
-            place.fingerprint, until_s, now, request.work_ms, per_s
+            place.fingerprint,
+            request.give_up_s + KEPT_FOR_S,
+            now,
+            request.work_ms,
+            per_s,
         )
         retry_s = retry_after_s(
             request, ahead.work_ms, refused_ms, per_s, now, self._random, kept
--- a/tests/test_waiting_line.py
+++ b/tests/test_waiting_line.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import unittest.mock
 
 import attrs
 
@@ -43,6 +44,7 @@
     now: float = 0.0
     tries: list[str] = attrs.field(factory=list)
     placed: list[str] = attrs.field(factory=list)
+    stopping: bool = False
     needs_two: set[str] = attrs.field(factory=set)
     line: WaitingLine = attrs.field(init=False)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
@@ -77,6 +79,8 @@
                         self.line.take(place)
                         self.placed.append(request.request_id)
                         return True
+                if self.stopping:
+                    return False
                 self.line.start_waiting(place)
                 await place.wait_turn()
             return False
@@ -153,6 +157,41 @@
     assert "r39" not in fleet.placed
 
 
+async def test_only_a_few_requests_end_their_wait_after_each_change():
+    # A node that stops refuses all that wait, 0.3 s before it ends.
+    fleet = _Fleet()
+    for number in range(100):
+        await fleet.arrive(f"r{number}")
+    fleet.stopping = True
+    await fleet.changes.happen()
+    assert len(fleet.line) == 0
+    assert not any([await task for task in fleet.tasks.values()])
+
+
+async def test_nothing_wakes_requests_after_an_error_in_the_decision_who_is_refused():
+    fleet = _Fleet()
+    for number in range(3):
+        await fleet.arrive(f"r{number}")
+    name = "tanagerkeel.relay_entry._waiting_line.choose_rejections"
+    with unittest.mock.patch(name, side_effect=ZeroDivisionError):
+        await fleet.changes.happen()
+    await fleet.free_places(2)
+    await fleet.free_places(1)
+    assert fleet.placed == ["r0", "r1", "r2"]
+
+
+async def test_a_request_that_could_not_join_blocks_the_line():
+    fleet = _Fleet()
+    name = "tanagerkeel.relay_entry._waiting_line.choose_rejections"
+    with unittest.mock.patch(name, side_effect=ZeroDivisionError):
+        await fleet.arrive("lost")
+    assert len(fleet.line) == 0
+    assert isinstance(fleet.tasks["lost"].exception(), ZeroDivisionError)
+    fleet.free = 1
+    await fleet.arrive("next")
+    assert fleet.placed == ["next"]
+
+
 async def test_requests_that_can_not_be_placed_block_all_behind_them():
     fleet = _Fleet(needs_two={f"large-{n}" for n in range(MAX_VAIN_TRIES + 2)})
     for number in range(MAX_VAIN_TRIES + 2):
