Deliver a backend server's problem document instead of forwarding the request again

Cause: the node that takes a forwarded request left out the name of the backend server where the response had the type of a problem document, and the node that forwarded it told the peer's own refusals from the server's responses by status and type.

Change: what a peer itself says is signed, over the request's signature, the status and the body. Only that means "not run" or "try another peer"; unsigned it means unknown. A response with a seal or the name of a backend server is the server's. Peers of older builds, which their entries tell, are told apart by the seal.

The same cause elsewhere: 403, 429, 503 and 500 with a problem document (403 went to another peer, 503 could be taken for the peer's "not run"); headers of an engine that are named as those between nodes (the first one counted, and a bad one ended the request); HEAD with a problem document lost its length. Looked at and sound: interim responses (skipped), responses with 421 or "not executed" through a peer (never counted as not run), the entry node that isn't deployed (frames answers in lines of its own).

--- a/src/tanagerkeel/gateways/request_signature.py
+++ b/src/tanagerkeel/gateways/request_signature.py
@@ -106,6 +106,26 @@
         tag = self._keys.sign(_signed_data(credential, address, path, body)).hex()
         return codec.encode(attrs.evolve(credential, tag=tag)).decode()
 
+    def verifies_response(
+        self, header: str, signature: str, status: int, body: bytes
+    ) -> bool:
+        """
+        Return whether the receiver of a request has itself given this response.
+
+        :param header: what :meth:`ForwardVerifier.sign_response` returned.
+        :param signature: the signature header of the request.
+        """
+        key_id, _, tag = header.partition(":")
+        try:
+            self._keys.verify(
+                int(key_id),
+                _signed_response(signature, status, body),
+                bytes.fromhex(tag),
+            )
+        except (FrameRejected, ValueError):
+            return False
+        return True
+
 
 @attrs.define
 class ForwardVerifier:
@@ -155,6 +175,20 @@
             raise FrameRejected("replayed")
         return credential.sender
 
+    def sign_response(self, signature: str, status: int, body: bytes) -> str:
+        """
+        Return the signature of a response that this node itself gives.
+
+        :param signature: the signature header of the request, which is unique.
+        """
+        tag = self._keys.sign(_signed_response(signature, status, body))
+        return f"{self._keys.signing_id}:{tag.hex()}"
+
+
+def _signed_response(signature: str, status: int, body: bytes) -> bytes:
+    digest = hashlib.sha256(body).digest()
+    return b"\0".join((b"response", signature.encode(), str(status).encode(), digest))
+
 
 def _signed_data(credential: Credential, address: str, path: str, body: bytes) -> bytes:
     # The receiver's address is signed, so that no other node accepts the request.
--- a/src/tanagerkeel/relay_entry/_asgi_reply.py
+++ b/src/tanagerkeel/relay_entry/_asgi_reply.py
@@ -36,7 +36,15 @@
     def name_backend(self, server: BackendServer) -> None:
         """Ignore the backend server: its headers tell the caller what it needs."""
 
+    async def send_own(self, status: int, headers: Headers, body: bytes) -> None:
+        await self._send_head(status, headers)
+        await self.write(body)
+        await self.finish()
+
     async def start(self, status: int, headers: Headers) -> None:
+        await self._send_head(status, headers)
+
+    async def _send_head(self, status: int, headers: Headers) -> None:
         self._started = True
         sent_headers = [*headers, CLOSE_HEADER] if self._closing() else list(headers)
         await self._send(
--- a/src/tanagerkeel/relay_entry/_forward_intake.py
+++ b/src/tanagerkeel/relay_entry/_forward_intake.py
@@ -9,7 +9,6 @@
 from tanagerkeel.errors import ResultCode
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.frames import FrameRejected
-from tanagerkeel.gateways.problems import PROBLEM_MEDIA_TYPE
 from tanagerkeel.gateways.request_signature import (
     SIGNATURE_HEADER,
     ForwardVerifier,
@@ -22,6 +21,7 @@
     BACKEND_HEADER,
     FORWARD_PATH,
     LENGTH_HEADER,
+    OWN_RESPONSE_HEADER,
     ForwardedRequest,
     encode_backend,
 )
@@ -37,6 +37,7 @@
 MAX_ENVELOPE_BYTES = 65_536
 STATUS_CONFLICT = 409
 STATUS_FORBIDDEN = 403
+FORWARD_HEADERS = frozenset((BACKEND_HEADER, LENGTH_HEADER, OWN_RESPONSE_HEADER))
 
 
 class ForwardHandler(Protocol):
@@ -53,20 +54,33 @@
     """
     Adds what the node that forwarded the request has to know.
 
+    A response of the node itself is signed, and that of a backend server has the
+    server's name: their statuses, types and bodies may be the same.
+
+    :param verifier: signs the responses of the node itself.
+    :param signature: the signature of the request.
     :param bodiless: whether the response has no body, as one to HEAD.
     """
 
+    _verifier: ForwardVerifier = attrs.field(kw_only=True)
+    _signature: str = attrs.field(kw_only=True)
     bodiless: bool = False
     _backend: BackendServer | None = None
 
     def name_backend(self, server: BackendServer) -> None:
         self._backend = server
 
+    async def send_own(self, status: int, headers: Headers, body: bytes) -> None:
+        tag = self._verifier.sign_response(self._signature, status, body)
+        headers = (*headers, (OWN_RESPONSE_HEADER, tag.encode()))
+        await super().send_own(status, headers, body)
+
     async def start(self, status: int, headers: Headers) -> None:
-        refused = (b"content-type", PROBLEM_MEDIA_TYPE.encode()) in headers
-        if self._backend is not None and not refused:
+        # A backend server's own headers of these names would pass for this node's.
+        headers = tuple(h for h in headers if h[0] not in FORWARD_HEADERS)
+        if self._backend is not None:
             headers = (*headers, (BACKEND_HEADER, encode_backend(self._backend)))
-        if self.bodiless and not refused:
+        if self.bodiless:
             headers = tuple(
                 (LENGTH_HEADER if name == b"content-length" else name, value)
                 for name, value in headers
@@ -97,14 +111,22 @@
         """Serve one ASGI request; scopes other than HTTP are ignored."""
         if scope["type"] != "http":
             return
-        reply = _ForwardReply(scope, send, lambda: self._state.stopping)
+        headers = dict(scope["headers"])
+        signature = headers.get(SIGNATURE_HEADER.lower().encode(), b"").decode("latin1")
+        reply = _ForwardReply(
+            scope,
+            send,
+            lambda: self._state.stopping,
+            verifier=self._verifier,
+            signature=signature,
+        )
         refusal = self._refusal(scope["path"])
         if refusal is not None:
             await send_refusal(reply, refusal, "")
             return
         self._open += 1
         try:
-            await self._serve(scope, receive, reply)
+            await self._serve(scope, receive, reply, signature)
         finally:
             self._open -= 1
 
@@ -119,15 +141,13 @@
         return None
 
     async def _serve(
-        self, scope: Event, receive: Receive, reply: _ForwardReply
+        self, scope: Event, receive: Receive, reply: _ForwardReply, signature: str
     ) -> None:
         body = await self._read(receive)
         if body is None:
             # The peer disconnected, or sent more than it may.
             reply.abort()
             return
-        headers = dict(scope["headers"])
-        signature = headers.get(SIGNATURE_HEADER.lower().encode(), b"").decode("latin1")
         try:
             sender = self._verifier.verify(
                 signature, self._address(), FORWARD_PATH, body
@@ -170,6 +190,5 @@
                 return bytes(body)
 
     async def _respond(self, reply: CallerReply, status: int, body: bytes) -> None:
-        await reply.start(status, ((b"content-length", str(len(body)).encode()),))
-        await reply.write(body)
-        await reply.finish()
+        headers = ((b"content-length", str(len(body)).encode()),)
+        await reply.send_own(status, headers, body)
--- a/src/tanagerkeel/relay_entry/_forward_messages.py
+++ b/src/tanagerkeel/relay_entry/_forward_messages.py
@@ -9,6 +9,7 @@
     "BACKEND_HEADER",
     "LENGTH_HEADER",
     "FORWARD_PATH",
+    "OWN_RESPONSE_HEADER",
     "ForwardedRequest",
     "decode_backend",
     "encode_backend",
@@ -21,6 +22,8 @@
 # Header with the Content-Length of a response without a body, such as one to HEAD; the
 # forwarded request itself is a POST.
 LENGTH_HEADER = b"x-forward-length"
+# Header with the signature of a response that the peer itself gives, such as a refusal.
+OWN_RESPONSE_HEADER = b"x-forward-own-response"
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards requests to peers while this node reaches no backend server itself."""
 
 import collections
+import contextlib
 import random
 
 import attrs
@@ -26,6 +27,7 @@
     BACKEND_HEADER,
     FORWARD_PATH,
     LENGTH_HEADER,
+    OWN_RESPONSE_HEADER,
     ForwardedRequest,
     decode_backend,
 )
@@ -211,7 +213,7 @@
                 on_data=lambda: None,
                 on_first_output=lambda: None,
                 withholds=lambda head: (
-                    peer_codec.backend is None or head.status >= SERVER_ERROR_STATUS
+                    not peer_codec.from_backend or head.status >= SERVER_ERROR_STATUS
                 ),
             )
             outcome = await response.receive()
@@ -223,12 +225,15 @@
                 # Also makes the peer stop when the caller has disconnected.
                 connection.abort()
         match outcome:
-            case ErrorReply() if peer_codec.backend is not None:
-                return outcome
-            case ErrorReply() if outcome.head.status == STATUS_CONFLICT:
-                self._signer.set_session(address, _decode_session(outcome.body))
-                return None
-            case ErrorReply():
+            case ErrorReply() if not peer_codec.from_backend:
+                status, body = outcome.head.status, outcome.body
+                if peer.signs_own_responses and not self._signer.verifies_response(
+                    peer_codec.own_signature, signature, status, body
+                ):
+                    return RefusedByPeer(ResultCode.FORWARD_FAILED, Ran.UNKNOWN)
+                if status == STATUS_CONFLICT and body.isdigit():
+                    self._signer.set_session(address, int(body))
+                    return None
                 return _decode_refusal(outcome)
             case _:
                 return outcome
@@ -281,24 +286,34 @@
     Decodes heads of peers' responses, and takes out what only nodes need.
 
     :param backend: the incarnation that the response comes from; None if the peer
-        itself has responded.
+        names none.
+    :param from_backend: whether a backend server has responded, and not the peer
+        itself. Builds up to commit d56ce1e don't name it with problem documents, so
+        that the seal decides, which only backend servers give.
+    :param own_signature: the signature of the peer's own response; empty if none.
     """
 
     _codec: BackendCodec
     backend: tuple[str, int] | None = None
+    from_backend: bool = False
+    own_signature: str = ""
 
     def decode(self, raw: RawHead) -> ReplyHead:
         head = self._codec.decode(raw)
         given_length = any(name == LENGTH_HEADER for name, _ in head.headers)
-        dropped = {BACKEND_HEADER, *([b"content-length"] if given_length else [])}
+        dropped = {BACKEND_HEADER, OWN_RESPONSE_HEADER}
+        if given_length:
+            dropped.add(b"content-length")
         headers = tuple(
             (b"content-length" if name == LENGTH_HEADER else name, value)
             for name, value in head.headers
             if name not in dropped
         )
-        values = [value for name, value in head.headers if name == BACKEND_HEADER]
-        if values:
-            self.backend = decode_backend(values[0])
+        own = dict(head.headers)
+        with contextlib.suppress(codec.InvalidValue):
+            self.backend = decode_backend(own.get(BACKEND_HEADER, b""))
+        self.from_backend = self.backend is not None or head.sealed
+        self.own_signature = own.get(OWN_RESPONSE_HEADER, b"").decode("latin-1")
         return attrs.evolve(head, headers=headers)
 
 
@@ -312,10 +327,6 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def _decode_session(body: bytes) -> int:
-    return int(body) if body.isdigit() else 0
-
-
 def _decode_refusal(response: ErrorReply) -> RefusedByPeer:
     """Return what a peer's own response says."""
     if response.head.status == STATUS_FORBIDDEN:
--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -34,6 +34,8 @@
     :param started_ms: wall-clock time of its start, in milliseconds.
     :param forward_address: ``IP:PORT`` where it takes forwarded requests; empty if it
         takes none.
+    :param signs_own_responses: whether it signs what it says itself about a forwarded
+        request; builds up to commit d56ce1e don't.
     """
 
     node_id: str
@@ -41,6 +43,7 @@
     news_address: str
     started_ms: int
     forward_address: str = ""
+    signs_own_responses: bool = False
 
 
 @attrs.frozen
--- a/src/tanagerkeel/relay_entry/_presence_task.py
+++ b/src/tanagerkeel/relay_entry/_presence_task.py
@@ -183,6 +183,7 @@
             news_address=settings.news_listen,
             started_ms=int(self._state.clock.wall() * 1_000),
             forward_address=settings.forward_listen,
+            signs_own_responses=True,
         )
         era = self._store.era
         lease = await self._store.grant(LEASE_MS)
--- a/src/tanagerkeel/relay_entry/_protocols.py
+++ b/src/tanagerkeel/relay_entry/_protocols.py
@@ -122,8 +122,11 @@
     def name_backend(self, server: BackendServer) -> None:
         """Record which backend server responds, before :meth:`start`."""
 
+    async def send_own(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response of this node itself, not of a backend server."""
+
     async def start(self, status: int, headers: Headers) -> None:
-        """Send status and headers."""
+        """Send status and headers of a backend server's response."""
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/src/tanagerkeel/relay_entry/_refusals.py
+++ b/src/tanagerkeel/relay_entry/_refusals.py
@@ -28,6 +28,4 @@
     ]
     if refusal.retry_after_s is not None:
         headers.append((b"retry-after", f"{refusal.retry_after_s:.3f}".encode()))
-    await reply.start(refusal.code.status, tuple(headers))
-    await reply.write(body)
-    await reply.finish()
+    await reply.send_own(refusal.code.status, tuple(headers), body)
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -274,6 +274,89 @@
             writer.close()
 
 
+# What a peer would say if it had not run the request.
+PROBLEM = (
+    b'{"type":"","title":"","status":%d,"code":"TK-7003","detail":"",'
+    b'"ran":"no","request_id":""}'
+)
+PROBLEM_TYPE = "Content-Type: application/problem+json"
+
+
+def problem_script(status: int, *extra: str):
+    """Return a script that runs the request and answers with a problem document."""
+
+    async def script(engine, request, writer) -> None:
+        body = PROBLEM % status
+        await write_response(
+            writer, request, status, body, extra=(PROBLEM_TYPE, *extra)
+        )
+
+    return script
+
+
+def without_backend_of_problems(start):
+    """Return a start of responses as in builds that don't name all backends."""
+
+    async def old_start(reply, status, headers):
+        if (b"content-type", b"application/problem+json") in headers:
+            reply._backend = None
+        await start(reply, status, headers)
+
+    return old_start
+
+
+async def check_problem_is_delivered(status: int, *extra: str) -> None:
+    async with cut_relay(*[problem_script(status, *extra)] * 3) as (relay, cut):
+        options = {"method": "POST", "body": b"b"}
+        forwarded = await relay.call("/reserve/x", request_id="f", **options)
+        assert len(received_by(relay, "f")) == 1, status
+        cut.mode = ""
+        direct = await relay.call("/reserve/x", node=1, request_id="d", **options)
+        assert forwarded.status == direct.status == status, forwarded
+        assert forwarded.body == direct.body == PROBLEM % status
+        assert not any(name.startswith("x-forward") for name in forwarded.headers)
+
+
+async def test_a_problem_document_of_an_engine_is_no_refusal_of_the_peer():
+    # Review case 1: a booking that its engine answered with 409 and a problem document
+    # ran three times and was answered 503, "ran": "no".
+    for status in (400, 403, 404, 409, 422, 429, 500, 503):
+        await check_problem_is_delivered(status)
+
+
+async def test_headers_of_an_engine_do_not_pass_for_those_of_a_peer():
+    await check_problem_is_delivered(
+        409, 'X-Forward-Backend: ["i-9", 1]', "X-Forward-Own-Response: 1:00"
+    )
+
+
+async def test_a_problem_document_from_a_peer_of_an_older_build_runs_once():
+    reply_class = _forward_intake._ForwardReply
+    old_start = without_backend_of_problems(reply_class.start)
+    with unittest.mock.patch.object(reply_class, "start", old_start):
+        for status in (403, 409, 503):
+            await check_problem_is_delivered(status)
+
+
+async def test_only_a_signed_refusal_of_a_peer_means_not_run():
+    unsigned = _forward_intake.AsgiReply.send_own
+    for older_build, status in ((False, 502), (True, 503)):
+        async with cut_relay(*[respond_with_id] * 2, node_count=2) as (relay, _):
+            if older_build:
+                peers = relay.node.state.peers
+                known = peers.get(relay.nodes[1].settings.node_id)
+                peers.put(attrs.evolve(known, signs_own_responses=False))
+            with (
+                unittest.mock.patch.object(_forward_intake, "MAX_OPEN", 0),
+                unittest.mock.patch.object(
+                    _forward_intake._ForwardReply, "send_own", unsigned
+                ),
+            ):
+                reply = await relay.call("/reserve/x", method="POST", body=b"b")
+            assert reply.status == status, reply
+            assert (b'"ran":"no"' in reply.body) == older_build
+
+
 async def test_only_the_service_that_is_out_of_reach_is_forwarded():
     async def script(engine, request, writer) -> None:
         chat = request.target.startswith("/chat")
