Keep what a node takes from a peer in the log that it answers others from

Cause: after an outage all nodes ask each other for changes. What a node took from a peer moved its revision forward and wasn't added to its change log.

Change: StorePosition holds revision, era, log and large values, and keeps the invariant that the log has no gaps and ends at the revision. Changes from peers are logged as they came; who keeps none has an empty log.

The same cause elsewhere: a node that was a watcher and polls now answered from its log of before, complete up to its newer revision; a watch that ends after a peer's answer logged older changes as if they followed, and encoded an older configuration as a delta to a newer one, which it then kept as the newest; a watch without events moved the revision and not the log. Looked at and sound: listings (clear the log), eras (an answer of another era is not complete), confirmations of an older watcher.

Tests that needed attributes of the exchange set the position instead.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -75,6 +75,7 @@
 from tanagerkeel.relay._slow_reports import SlowReport, SlowReports
 from tanagerkeel.relay._store_contact import ContactReport
 from tanagerkeel.relay._store_era import EraChange, StoreEra
+from tanagerkeel.relay._store_position import StorePosition
 from tanagerkeel.relay._unstarted_attempts import UnstartedAttempts
 from tanagerkeel.relay._update_intervals import (
     UpdateIntervals,
@@ -140,6 +141,7 @@
     "StartReport",
     "StoreChange",
     "StoreEra",
+    "StorePosition",
     "StreamEvent",
     "EncodedChange",
     "LargeValueCache",
--- a/src/tanagerkeel/relay/_watching.py
+++ b/src/tanagerkeel/relay/_watching.py
@@ -108,6 +108,9 @@
         """Return a change as it is sent to other nodes, and store its value."""
         key, value, revision = change
         base, old = self._values.get(key, (0, b""))
+        if base >= revision:
+            # A peer has sent a newer value meanwhile.
+            return (key, None if value is None else zlib.compress(value), revision, 0)
         self.store(change)
         if value is None:
             return (key, None, revision, 0)
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -30,7 +30,7 @@
     StoreEntry,
     WatchedStore,
 )
-from tanagerkeel.relay import SMALL_FLEET_NODES, ChangeBatch, watchers
+from tanagerkeel.relay import SMALL_FLEET_NODES, StorePosition, watchers
 from tanagerkeel.relay_entry._peers import Peer, node_id_from_key
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_updates import (
@@ -121,10 +121,14 @@
         self._era_changed.set()
         self._exchange.end_wait()
 
+    @property
+    def _position(self) -> StorePosition:
+        return self._exchange.position
+
     @property
     def _lists_next(self) -> bool:
         """Whether the next call has to list the store."""
-        return self._exchange.revision is None or self._exchange.era != self._store.era
+        return self._position.revision is None or self._position.era != self._store.era
 
     @property
     def _watches_for_others(self) -> bool:
@@ -186,13 +190,13 @@
             if peer is None:
                 continue
             sent_s = self._state.clock.boottime()
-            answer = await self._exchange.query(peer, self._exchange.revision)
-            if answer is None or answer.era < self._exchange.era:
+            answer = await self._exchange.query(peer, self._position.revision)
+            if answer is None or answer.era < self._position.era:
                 # A watcher that doesn't know of the new era knows nothing of use.
                 continue
-            if answer.era > self._exchange.era:
+            if answer.era > self._position.era:
                 # The answer itself can't be used: changes are missing in it.
-                self._exchange.revision = None
+                self._position.lose()
                 await self.call_store(wait_ms=0)
                 return
             any_answer = True
@@ -258,8 +262,8 @@
                 # This node has no revision that a peer could go on from.
                 return
             sent_s = self._state.clock.boottime()
-            answer = await self._exchange.query(peer, self._exchange.revision)
-            if answer is None or self._lists_next or answer.era != self._exchange.era:
+            answer = await self._exchange.query(peer, self._position.revision)
+            if answer is None or self._lists_next or answer.era != self._position.era:
                 continue
             self._record_peer_contact(peer, answer)
             if self._apply_changes(answer, peer.node_id) and answer.age_ms >= 0:
@@ -303,9 +307,9 @@
         :param sender: the node's id.
         :returns: whether this node now has all changes up to the answer's revision.
         """
-        if answer.revision < self._exchange.revision:
+        if answer.revision < self._position.revision:
             return False
-        if answer.revision == self._exchange.revision:
+        if answer.revision == self._position.revision:
             return True
         changes = self._decode_changes(answer) if answer.complete else None
         if changes is None:
@@ -314,13 +318,13 @@
             return False
         for change in changes:
             self._apply_change(change, answer.revision, f"node {sender}")
-        self._exchange.revision = answer.revision
+        self._position.advance(answer.revision, answer.changes)
         return True
 
     async def _apply_answer(
         self, answer: StoreAnswer, sent_s: float, watcher: str
     ) -> None:
-        if answer.revision > self._exchange.revision and not self._apply_changes(
+        if answer.revision > self._position.revision and not self._apply_changes(
             answer, watcher
         ):
             await self.call_store(wait_ms=0)
@@ -331,7 +335,7 @@
 
     def _decode_changes(self, answer: StoreAnswer) -> list[StoreEntry | str] | None:
         try:
-            changes = map(self._exchange.large_values.decode, answer.changes)
+            changes = map(self._position.large_values.decode, answer.changes)
             return [
                 key if value is None else StoreEntry(key, value, revision)
                 for key, value, revision in changes
@@ -353,7 +357,7 @@
                 self._apply_listing(await self._store.list_all(ALL_KEYS))
             else:
                 confirmed_s += await self._fetch_changes(
-                    self._exchange.revision, wait_ms
+                    self._position.revision, wait_ms
                 )
         except _EraEnded:
             return
@@ -361,9 +365,9 @@
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
                 reason="the store dropped its change history; listing again",
-                revision=self._exchange.revision,
+                revision=self._position.revision,
             )
-            self._exchange.revision = None
+            self._position.lose()
             return
         self._record_success()
         self._state.record_confirmation(confirmed_s)
@@ -379,15 +383,15 @@
         """
         sent_s = self._state.clock.boottime()
         changes = await self._watch(after, wait_ms)
-        if changes.era != self._exchange.era:
+        if changes.era != self._position.era:
             raise _EraEnded
         # Otherwise a peer has sent these changes meanwhile, and maybe later ones.
-        if self._exchange.revision == after or (
-            changes.revision > self._exchange.revision
+        if self._position.revision == after or (
+            changes.revision > self._position.revision
         ):
             for change in changes.events:
                 self._apply_change(change, changes.revision, "watch")
-            self._record_changes(after, changes)
+            self._record_changes(changes)
         waited_s = self._state.clock.boottime() - sent_s
         self._delay_next_call = bool(changes.events)
         if changes.events or waited_s < wait_ms / 1_000:
@@ -425,10 +429,14 @@
             for call in calls:
                 call.cancel()
 
-    def _record_changes(self, after: int, changes: Changes) -> None:
+    def _record_changes(self, changes: Changes) -> None:
         """Record the new revision and values; on a watcher, also for other nodes."""
-        self._exchange.revision = changes.revision
+        if changes.revision < self._position.revision:
+            # The store has less than this node; what is written next is read again.
+            self._position.begin(changes.revision, changes.era)
+            return
         if not changes.events:
+            self._position.advance(changes.revision, ())
             return
         store_changes = (
             (change.key, change.value, change.revision)
@@ -436,13 +444,14 @@
             else (change, None, changes.revision)
             for change in changes.events
         )
-        values = self._exchange.large_values
+        values = self._position.large_values
         if self._state.settings.node_id not in self._watchers:
             for change in store_changes:
                 values.store(change)
+            self._position.advance(changes.revision, None)
             return
         encoded = tuple(map(values.encode, store_changes))
-        self._exchange.change_log.add(ChangeBatch(after, changes.revision, encoded))
+        self._position.advance(changes.revision, encoded)
         self._exchange.send_hints(changes.revision)
 
     def _record_success(self) -> None:
@@ -454,7 +463,7 @@
         if not self._reachable:
             log(
                 LogEvent.PLATFORM_REACHABLE,
-                revision=self._exchange.revision,
+                revision=self._position.revision,
                 failures=self._failures,
             )
         self._reachable = True
@@ -467,7 +476,7 @@
             log(
                 LogEvent.PLATFORM_UNREACHABLE,
                 reason=error.reason,
-                revision=self._exchange.revision,
+                revision=self._position.revision,
                 confirmed_age_s=self._rounded_confirmed_age_s(),
             )
         self._reachable = False
@@ -481,15 +490,15 @@
         return round(age_s, 3) if math.isfinite(age_s) else None
 
     def _apply_listing(self, listing: Listing) -> None:
-        if self._exchange.era not in (None, listing.era):
+        if self._position.era not in (None, listing.era):
             self._state.begin_store_era()
             # They may have revisions that are given out again for other values.
-            self._exchange.large_values.clear()
+            self._position.large_values.clear()
         backends: set[str] = set()
         domains: set[str] = set()
         nodes: set[str] = set()
         for entry in listing.entries:
-            self._exchange.large_values.store((entry.key, entry.value, entry.revision))
+            self._position.large_values.store((entry.key, entry.value, entry.revision))
             match self._apply_entry(entry, "listing"):
                 case BackendUpdate() as update:
                     backends.add(update.server.backend_id)
@@ -500,9 +509,7 @@
         self._state.keep_only(backends, domains)
         for missing in set(self._state.peers.ids()) - nodes:
             self._on_peer_key_gone(missing)
-        self._exchange.revision = listing.revision
-        self._exchange.era = listing.era
-        self._exchange.change_log.clear()
+        self._position.begin(listing.revision, listing.era)
         self._exchange.forget_hints()
 
     def _apply_change(
--- a/src/tanagerkeel/relay_entry/_watcher_exchange.py
+++ b/src/tanagerkeel/relay_entry/_watcher_exchange.py
@@ -14,10 +14,9 @@
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.relay import (
     SMALL_FLEET_NODES,
-    ChangeLog,
     ContactReport,
     EncodedChange,
-    LargeValueCache,
+    StorePosition,
 )
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask
 from tanagerkeel.relay_entry._peers import Peer
@@ -90,19 +89,12 @@
 
     :param state: the node's state.
     :param peer_updates: sends and receives the datagrams.
-    :param change_log: recent changes that this node read as a watcher.
-    :param large_values: newest large values, as bases of deltas.
-    :param revision: the store's revision that this node has applied; None before the
-        first listing.
-    :param era: the era of the store to which the revision belongs.
+    :param position: what this node has applied of the store.
     """
 
     _state: RelayState
     _peer_updates: PeerUpdateTask
-    change_log: ChangeLog = attrs.field(factory=ChangeLog)
-    large_values: LargeValueCache = attrs.field(factory=LargeValueCache)
-    revision: int | None = None
-    era: int | None = None
+    position: StorePosition = attrs.field(factory=StorePosition)
     _numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     _pending: dict[int, asyncio.Future] = attrs.field(factory=dict)
     _hint_received: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -112,7 +104,10 @@
     @property
     def is_behind(self) -> bool:
         """Whether a peer has sent a hint of a change that this node doesn't have."""
-        return self.revision is not None and self.precedes_hint(self.era, self.revision)
+        position = self.position
+        return position.revision is not None and self.precedes_hint(
+            position.era, position.revision
+        )
 
     def __attrs_post_init__(self) -> None:
         self._peer_updates.register_handler(QUERY_KIND, self._on_query)
@@ -131,7 +126,7 @@
         self._pending[number] = reply
         try:
             if not self._peer_updates.send_to(
-                watcher, QUERY_KIND, _Query(number, revision, self.era or 0)
+                watcher, QUERY_KIND, _Query(number, revision, self.position.era or 0)
             ):
                 return None
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -155,7 +150,7 @@
         to_all = len(others) < SMALL_FLEET_NODES
         for peer in others:
             if to_all or peer.failure_domain == own_domain:
-                hint = _Hint(revision, self.era or 0)
+                hint = _Hint(revision, self.position.era or 0)
                 self._peer_updates.send_to(peer, HINT_KIND, hint)
 
     def precedes_hint(self, era: int, revision: int) -> bool:
@@ -197,25 +192,20 @@
 
     def _on_query(self, sender: str, payload: bytes) -> None:
         peer = self._state.peers.get(sender)
-        if peer is None or self.revision is None:
+        if peer is None or self.position.revision is None:
             return
         query = codec.unpack_compact(payload, _Query)
-        changes: tuple[EncodedChange, ...] | None = ()
-        if query.era != self.era:
-            # Its revision has no meaning in the era of this node's.
-            changes = None
-        elif query.revision < self.revision:
-            changes = self.change_log.since(query.revision)
+        changes = self.position.changes_since(query.revision, query.era)
         age_s = self._state.confirmed_age_s
         now = self._state.clock.monotonic()
         contact = self._state.backends.contact_report(now)
         answer = StoreAnswer(
             number=query.number,
-            revision=self.revision,
+            revision=self.position.revision,
             age_ms=int(1_000 * age_s) + 1 if age_s < float("inf") else -1,
             complete=changes is not None,
             changes=changes or (),
-            era=self.era,
+            era=self.position.era,
             # Both are rounded so that the report claims less.
             unbroken_ms=int(1_000 * contact.unbroken_s) if contact else -1,
             contact_age_ms=int(1_000 * contact.age_s) + 1 if contact else -1,
@@ -236,8 +226,9 @@
 
     def _on_hint(self, sender: str, payload: bytes) -> None:
         hint = codec.unpack_compact(payload, _Hint)
-        if self.revision is None:
+        position = self.position
+        if position.revision is None:
             return
-        if (hint.era, hint.revision) > (self.era, self.revision):
+        if (hint.era, hint.revision) > (position.era, position.revision):
             self._hinted = max(self._hinted, (hint.era, hint.revision))
             self._hint_received.set()
--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -193,9 +193,9 @@
 async def test_an_answer_tells_what_changed_and_how_old_the_word_is():
     clock, (_, _, poller), (state, _, watcher) = _pair()
     peer = Peer("n2", "zone-a", "127.0.0.1:1", 1)
-    watcher.revision = 12
-    poller.era = watcher.era = 0
-    watcher.change_log.add(ChangeBatch(10, 12, (_change("servers/i", 12),)))
+    poller.position.begin(10, 0)
+    watcher.position.begin(10, 0)
+    watcher.position.advance(12, (_change("servers/i", 12),))
     state.confirmed_s = clock.boottime()
     # The age includes time for which the watcher's process was suspended.
     clock.suspend(1.2)
@@ -247,26 +247,26 @@
     pair = _pair()
     _, (_, _, poller), (_, _, watcher) = pair
     task, store = _polling_task(pair, Listing((), 15, 2))
-    poller.revision, poller.era = 20, 1
-    watcher.revision, watcher.era = 15, 2
+    poller.position.begin(20, 1)
+    watcher.position.begin(15, 2)
     await task.poll_watchers()
     assert store.listings == 1
-    assert (poller.revision, poller.era) == (15, 2)
+    assert (poller.position.revision, poller.position.era) == (15, 2)
 
 
 async def test_an_answer_of_a_watcher_in_an_older_era_is_not_used():
     pair = _pair()
     _, (_, _, poller), (_, _, watcher) = pair
     task, store = _polling_task(pair, Listing((), 16, 2))
-    poller.revision, poller.era = 15, 2
-    watcher.revision, watcher.era = 20, 1
-    watcher.change_log.add(ChangeBatch(15, 20, (_change("servers/i", 20),)))
+    poller.position.begin(15, 2)
+    watcher.position.begin(15, 1)
+    watcher.position.advance(20, (_change("servers/i", 20),))
     pair[0].advance(1.0)
     with contextlib.suppress(PlatformUnavailable):
         await task.poll_watchers()
     # No watcher has a usable answer, so that the node calls the store itself.
     assert store.watches == 1
-    assert (poller.revision, poller.era) == (15, 2)
+    assert (poller.position.revision, poller.position.era) == (15, 2)
     assert task._state.confirmed_age_s >= 1.0
 
 
@@ -276,15 +276,15 @@
     pair = _pair()
     _, (_, _, poller), (_, _, watcher) = pair
     task, _ = _polling_task(pair, Listing((), 15, 2))
-    poller.revision, poller.era = 20, 1
-    poller.large_values.store(("op", _document(2, _routes(50)), 20))
-    watcher.revision, watcher.era = 15, 2
+    poller.position.begin(20, 1)
+    poller.position.large_values.store(("op", _document(2, _routes(50)), 20))
+    watcher.position.begin(15, 2)
     await task.poll_watchers()
     values = LargeValueCache()
     values.store(("op", _document(3, _routes(50)), 16))
     change = values.encode(("op", _document(4, _routes(51)), 17))
     try:
-        decoded = poller.large_values.decode(change)
+        decoded = poller.position.large_values.decode(change)
     except ValueError:
         # The base is missing, so that the node calls the store.
         return
@@ -293,7 +293,8 @@
 
 async def test_a_hint_of_a_new_era_wakes_a_node_with_a_higher_revision():
     _, (_, _, poller), (_, _, watcher) = _pair()
-    poller.revision, poller.era, watcher.era = 20, 1, 2
+    poller.position.begin(20, 1)
+    watcher.position.begin(15, 2)
     watcher.send_hints(15)
     started = asyncio.get_running_loop().time()
     await poller.wait_for_hint(1.0)
@@ -314,8 +315,8 @@
 
 async def test_a_hint_wakes_only_a_node_with_an_older_revision():
     _, (_, _, poller), (_, _, watcher) = _pair()
-    poller.revision = 12
-    poller.era = watcher.era = 0
+    poller.position.begin(12, 0)
+    watcher.position.begin(12, 0)
     loop = asyncio.get_running_loop()
     watcher.send_hints(12)
     started = loop.time()
@@ -351,8 +352,8 @@
         state.peers.put(Peer(f"n{n}", "zone-b", "127.0.0.1:1", 1))
     state.peers.put(Peer("n1", "zone-a", "127.0.0.1:1", 1))
     state.peers.put(Peer("n0", "zone-a", "127.0.0.1:1", 1))
-    poller.revision = watcher.revision = 12
-    poller.era = watcher.era = 0
+    poller.position.begin(12, 0)
+    watcher.position.begin(12, 0)
     watcher_state.confirmed_s = clock.boottime() - 10.0
     store = _Store()
     task = StoreTask(store, None, state, random.Random(1), poller)
@@ -389,14 +390,14 @@
     first, second = watchers(domains, "zone-a")
     (own,) = {"n1", "n2", "n3"} - {first, second}
     nodes = {name: _node(name, clock) for name in (own, first, second)}
-    for name, (state, datagrams, exchange) in nodes.items():
+    for state, datagrams, exchange in nodes.values():
         for peer, domain in domains.items():
             state.peers.put(Peer(peer, domain, "127.0.0.1:1", 1))
         state.confirmed_s = clock.boottime()
-        exchange.era, exchange.revision = 0, 13 if name == second else 12
+        exchange.position.begin(12, 0)
         datagrams.remotes = {other: nodes[other][1] for other in nodes}
-    batch = ChangeBatch(12, 13, (("other", zlib.compress(b"v"), 13, 0),))
-    nodes[second][2].change_log.add(batch)
+    change = ("other", zlib.compress(b"v"), 13, 0)
+    nodes[second][2].position.advance(13, (change,))
     state, _, poller = nodes[own]
     nodes[second][2].send_hints(13)
     await asyncio.sleep(0)
@@ -404,7 +405,7 @@
     polling = asyncio.create_task(task.poll_watchers())
     await asyncio.sleep(0.05)
     polling.cancel()
-    assert poller.revision == 13
+    assert poller.position.revision == 13
 
 
 class _RemovingDecoder(_IgnoringDecoder):
@@ -423,8 +424,7 @@
         state.backends.put(server, 12, clock.monotonic())
         state.backends.mark_store_reachable(clock.monotonic())
         clock.advance(1.0)
-        poller.revision = 12
-        poller.era = 0
+        poller.position.begin(12, 0)
         task = StoreTask(_Store(), _RemovingDecoder(), state, random.Random(1), poller)
         task._record_failure(PlatformUnavailable("status 429"))
         fields = (1, 13, 500, True, (("i-0", None, 13, 0),), 0, *contact)
@@ -433,7 +433,7 @@
             WatcherExchange, "query", unittest.mock.AsyncMock(return_value=answer)
         ):
             await task._ask_peers()
-        assert poller.revision == 13
+        assert poller.position.revision == 13
         assert abs(state.confirmed_age_s - 0.5) < 0.01
         assert (state.backends.get("i-0") is None) == dropped
         usable = state.backends.usable("models", clock.monotonic())
