Let an unreadable entry of the store cost only itself

Cause: the decoder expected msgspec's errors, and deep nesting raises RecursionError.

Looked at and sound: entries of peers (decoded by the codec), the signing key (any bytes). Not done: types of the engine profiles and services of a configuration.

--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -32,12 +32,12 @@
 )
 from tanagerkeel.relay import SMALL_FLEET_NODES, StorePosition, watchers
 from tanagerkeel.relay_entry._peers import Peer, node_id_from_key
+from tanagerkeel.relay_entry._rejection_log import RejectionLog
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_updates import (
     BackendUpdate,
     DomainTakenOut,
     StoreDecoder,
-    UnreadableEntry,
 )
 from tanagerkeel.relay_entry._watcher_exchange import StoreAnswer, WatcherExchange
 
@@ -114,6 +114,12 @@
     _in_gap: asyncio.Event = attrs.field(factory=asyncio.Event)
     _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    _rejections: RejectionLog = attrs.field()
+
+    @_rejections.default
+    def _make_rejections(self) -> RejectionLog:
+        return RejectionLog(self._state.clock)
+
     def __attrs_post_init__(self) -> None:
         self._store.add_era_listener(self._on_new_era)
 
@@ -522,26 +528,30 @@
         if node_id is not None:
             self._on_peer_key_gone(node_id)
             return
-        update = self._decoder.decode_deleted(change)
-        if update is not None:
-            self._state.apply(update, revision, source)
+        try:
+            update = self._decoder.decode_deleted(change)
+            if update is not None:
+                self._state.apply(update, revision, source)
+        except Exception as error:
+            self._rejections.record(change, revision, error)
 
     def _apply_entry(self, entry: StoreEntry, source: str) -> object:
+        """
+        Apply an entry; return what it says, or None if it can't be used.
+
+        Whatever its bytes are, it costs nothing but itself: an error would end the
+        task, which would meet the same entry again after each restart.
+        """
         node_id = node_id_from_key(entry.key)
         try:
             if node_id is not None:
                 return self._apply_peer(codec.decode(entry.value, Peer, lenient=True))
             update = self._decoder.decode_written(entry.key, entry.value)
-        except (UnreadableEntry, codec.InvalidValue) as error:
-            log(
-                LogEvent.STORE_ENTRY_REJECTED,
-                key=entry.key,
-                revision=entry.revision,
-                reason=str(error),
-            )
+            if update is not None:
+                self._state.apply(update, entry.revision, source)
+        except Exception as error:
+            self._rejections.record(entry.key, entry.revision, error)
             return None
-        if update is not None:
-            self._state.apply(update, entry.revision, source)
         return update
 
     def _apply_peer(self, peer: Peer) -> str:
