Put new limits in force on open connections from their next request on

Change: open connections get the limits, too. A head that is arriving keeps those with which it began; the times since the last request or since connecting count.

The same cause elsewhere: the header and idle timeouts of open connections, running ones included. The limit on bodies was sound (read with each request), now tested on one connection up and down. With pipelining, a body that came together with the start of the next head counted as headers: 431 for a sound request; it doesn't any more.

--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -75,6 +75,8 @@
     def __init__(self, policy: HeaderPolicy, **options: Any) -> None:
         super().__init__(**options)
         self._policy = policy
+        # In force from the next request on.
+        self._next_policy = policy
         self._reading_headers = False
         self._raw_header_bytes = 0
         self._header_bytes = 0
@@ -84,6 +86,47 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._stopping = False
         self._stop_timer: asyncio.TimerHandle | None = None
+        # Whether a request has begun and not ended, and how many have begun in the data
+        # that is being parsed.
+        self._in_message = False
+        self._messages_begun = 0
+
+    def set_limits(self, policy: HeaderPolicy, keep_alive_s: float) -> None:
+        """
+        Set the limits from the next request on.
+
+        A request whose headers are arriving keeps its limits. The time that has passed
+        since the last request, or since connecting, counts.
+
+        :param policy: limits on headers.
+        :param keep_alive_s: longest time between two requests, in seconds.
+        """
+        old_timeout_s = self._policy.timeout_s
+        self._next_policy = policy
+        if not self._reading_headers:
+            self._policy = policy
+            self._header_timer = self._move_timer(
+                self._header_timer,
+                policy.timeout_s - old_timeout_s,
+                self.transport.close,
+            )
+        self.timeout_keep_alive_task = self._move_timer(
+            self.timeout_keep_alive_task,
+            keep_alive_s - self.timeout_keep_alive,
+            self.timeout_keep_alive_handler,
+        )
+        self.timeout_keep_alive = keep_alive_s
+
+    def _move_timer(
+        self,
+        timer: asyncio.TimerHandle | None,
+        by_s: float,
+        callback: Callable[[], object],
+    ) -> asyncio.TimerHandle | None:
+        if timer is None or by_s == 0:
+            return timer
+        timer.cancel()
+        return self.loop.call_at(timer.when() + by_s, callback)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the timeout of the first request's headers."""
@@ -102,11 +145,15 @@
         if self._rejected:
             self._discard(len(data))
             return
+        # With pipelining, data in which headers begin may hold the request before, too.
+        others = int(self._in_message)
+        self._messages_begun = 0
         super().data_received(data)
         if self._reading_headers and not self._rejected:
             # The parser reports a header only when it is complete, so one that never
             # ends is noticed only here.
-            self._raw_header_bytes += len(data)
+            if self._messages_begun + others <= 1:
+                self._raw_header_bytes += len(data)
             if self._raw_header_bytes > self._policy.max_bytes:
                 self._reject(self._policy.too_large)
 
@@ -117,6 +164,9 @@
     def on_message_begin(self) -> None:
         """Reset the counters and start the header timeout."""
         super().on_message_begin()
+        self._policy = self._next_policy
+        self._in_message = True
+        self._messages_begun += 1
         self.scope["extensions"] = {ABORT_EXTENSION: self.transport.abort}
         self._reading_headers = True
         self._start_header_timer()
@@ -176,6 +226,7 @@
 
     def on_message_complete(self) -> None:
         """End the request; after an early response, start the keep-alive timeout."""
+        self._in_message = False
         if self._rejected:
             return
         super().on_message_complete()
--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -123,7 +123,7 @@
 
     def set_limits(self, headers: HeaderPolicy, keep_alive_s: float) -> None:
         """
-        Set the limits of new connections.
+        Set the limits of new connections, and of open ones from their next request on.
 
         :param headers: limits on headers.
         :param keep_alive_s: longest time between two requests, in seconds.
@@ -132,6 +132,8 @@
         self._keep_alive_s = keep_alive_s
         if self._server is not None:
             self._server.config.timeout_keep_alive = keep_alive_s
+            for connection in list(self._server.server_state.connections):
+                connection.set_limits(headers, keep_alive_s)
 
     def _create_protocol(self, **options: Any) -> BoundedProtocol:
         return BoundedProtocol(self._headers, **options)
--- a/tests/platform/test_rules_fleet.py
+++ b/tests/platform/test_rules_fleet.py
@@ -316,6 +316,41 @@
         assert reply.status == 400
 
 
+async def test_limits_change_up_and_down_on_a_connection_that_is_open():
+    async with running_relay(respond_with_id) as relay:
+        host, _, port = relay.node.callers_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        number = 0
+
+        async def status(header_bytes: int, body_bytes: int) -> int:
+            nonlocal number
+            number += 1
+            writer.write(
+                b"POST /lookup/x HTTP/1.1\r\nHost: service.example\r\n"
+                + f"Tanagerkeel-Attempt-Id: r{number}\r\n".encode()
+                + f"Authorization: Token {KEY}\r\n".encode()
+                + b"X-Pad: "
+                + b"x" * header_bytes
+                + b"\r\nContent-Length: %d\r\n\r\n" % body_bytes
+                + b"b" * body_bytes
+            )
+            return (await read_response(reader)).status
+
+        for version, headers, bodies in ((3, 8_192, 9_000), (4, 32_768, 90_000)):
+            limits = configuration()["limits"]
+            limits |= {"maxHeaderBytes": headers, "maxBodyBytes": bodies}
+            relay.store.write("op/config", configuration(version, limits=limits))
+            await relay.until(
+                lambda v=version: relay.node.state.configuration.version == v
+            )
+            assert await status(headers - 1_000, bodies) == 200
+        limits |= {"maxBodyBytes": 10_000}
+        relay.store.write("op/config", configuration(5, limits=limits))
+        await relay.until(lambda: relay.node.state.configuration.version == 5)
+        assert await status(10, 10_001) == 413
+        writer.close()
+
+
 async def test_a_request_that_brings_down_engines_is_held_back():
     async def dying(
         engine: Engine, request: ReceivedRequest, writer: asyncio.StreamWriter
