Confirm callers' keys as soon as confirmations count again after a return of the store

Cause: after the store's return from a copy, confirmations count again two seconds later, and a call confirms the state of its start only when it ends.

Change: a watch ends when confirmations count again, and the first call after that doesn't wait.

--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -236,6 +236,17 @@
             return True
         return self.confirmed_age_s < bounds.revoke_ms / 1_000 - CONFIRM_MARGIN_S
 
+    @property
+    def confirmable_in_s(self) -> float | None:
+        """
+        Time until a confirmation counts again after the store's return from a copy.
+
+        None if one has counted since then, in seconds otherwise.
+        """
+        if self.confirmed_s >= self._rewritten_s:
+            return None
+        return max(0.0, self._rewritten_s - self.clock.boottime())
+
     def record_confirmation(self, confirmed_s: float) -> None:
         """
         Record that the store confirmed the configuration in force.
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -153,7 +153,13 @@
         if self._failures:
             # A short call shows sooner whether the store can be reached again.
             return 0
-        return WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
+        wait_ms = WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
+        confirmable_in_s = self._state.confirmable_in_s
+        if confirmable_in_s is None:
+            return wait_ms
+        # Nodes refuse callers' keys that aren't confirmed in time, and a call confirms
+        # them only at its end.
+        return min(wait_ms, math.ceil(1_000 * confirmable_in_s))
 
     async def run(self) -> None:
         """Mirror the store until cancelled."""
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -206,6 +206,24 @@
             assert (await relay.call("/lookup/x")).status != 200
 
 
+async def test_keys_are_confirmed_within_a_second_after_confirmations_count_again():
+    # RECOVER: the watch that was open confirmed them only at its end, up to 4.7 s after
+    # the store's return, when nodes had refused all keys.
+    async with relay_over_http(respond_with_id) as relay:
+        store, state = relay.store, relay.node.state
+        copy = store.copy()
+        await write_again(relay)
+        store.restore(copy)
+        loop = asyncio.get_running_loop()
+        await relay.until(lambda: state.confirmable_in_s is not None)
+        returned_s = loop.time()
+        await asyncio.sleep(1.9)
+        # The next watch begins after a pause, when this change has been read.
+        store.write("op/other", {})
+        await relay.until(lambda: state.confirmable_in_s is None)
+        assert loop.time() - returned_s < 3.0
+
+
 async def test_a_new_era_that_another_call_finds_first_ends_the_watch():
     async with relay_over_http(respond_with_id) as relay:
         store = relay.store
--- /dev/null
+++ b/tests/review.py
@@ -0,0 +1,74 @@
+"""
+Plays the cases of the independent review again.
+
+``python -m tests.review`` plays each case five times, which takes about 14 minutes, so
+that it isn't part of the default run. ``python -m tests.review --times 1 3 5`` plays
+cases 3 and 5 once. The nodes need the packages of the deploy file's build in
+``target/deps``.
+"""
+
+import argparse
+import os
+import pathlib
+import subprocess
+import sys
+from collections.abc import Iterator, Sequence
+
+import attrs
+
+__all__ = ["main"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CASES = (1, 2, 3, 4, 5)
+DEFAULT_TIMES = 5
+VERDICTS = {0: "held", 1: "broken", 2: "could not run"}
+
+
+@attrs.frozen
+class Play:
+    """
+    One play of a case.
+
+    :param case: the case's number.
+    :param number: which play of the case it is.
+    :param verdict: what its script found.
+    """
+
+    case: int
+    number: int
+    verdict: str
+
+
+def _plays(cases: Sequence[int], times: int) -> Iterator[Play]:
+    for case in cases:
+        record = ROOT / "review" / str(case) / "record.txt"
+        # The record of the review stays as it was found.
+        kept = record.read_bytes()
+        try:
+            for number in range(1, times + 1):
+                ended = subprocess.run(
+                    ["sh", str(record.with_name("run.sh"))],
+                    env={**os.environ, "TROUBLE": "1"},
+                    check=False,
+                )
+                verdict = VERDICTS.get(ended.returncode, f"exit {ended.returncode}")
+                yield Play(case, number, verdict)
+        finally:
+            record.write_bytes(kept)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play cases and print what was found; return 1 unless all held."""
+    parser = argparse.ArgumentParser(prog="python -m tests.review")
+    parser.add_argument("cases", nargs="*", type=int, choices=[*CASES, []])
+    parser.add_argument("--times", type=int, default=DEFAULT_TIMES)
+    options = parser.parse_args(arguments)
+    all_held = True
+    for play in _plays(options.cases or CASES, options.times):
+        print(f"case {play.case}, play {play.number}: {play.verdict}", flush=True)
+        all_held = all_held and play.verdict == "held"
+    return 0 if all_held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
