--- a/src/tanagerkeel/gateways/problems.py
+++ b/src/tanagerkeel/gateways/problems.py
@@ -3,15 +3,19 @@
 import http
 import math
 import re
+import typing
 import uuid
 
 import attrs
-import falcon.asgi
 
 from tanagerkeel import codec
 from tanagerkeel.errors import ResultCode, TanagerkeelError
 from tanagerkeel.gateways.http_protocol import HeaderPolicy, Headers
 
+if typing.TYPE_CHECKING:
+    # A node that relays opaque requests doesn't use falcon; importing it takes time.
+    import falcon.asgi
+
 __all__ = [
     "REQUEST_ID_HEADER",
     "Problem",
@@ -65,7 +69,7 @@
 
 
 def send_problem(
-    response: falcon.asgi.Response, error: TanagerkeelError, request_id: str
+    response: "falcon.asgi.Response", error: TanagerkeelError, request_id: str
 ) -> None:
     """Fill in ``response`` with the problem document of an error."""
     response.status = error.result.status
--- a/src/tanagerkeel/relay_entry/_operators.py
+++ b/src/tanagerkeel/relay_entry/_operators.py
@@ -1,54 +1,69 @@
 """HTTP applications of a relaying node for the load balancer and operators."""
 
+from collections.abc import Callable
+
 import attrs
-import falcon
-import falcon.asgi
 import prometheus_client
 
+from tanagerkeel.relay import Headers
+from tanagerkeel.relay_entry._asgi_reply import Event, Receive, Send
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["metrics_app", "readiness_app"]
 
+TEXT = "text/plain; charset=utf-8"
 
-@attrs.frozen
-class _Readiness:
-    _state: RelayState
 
-    async def on_get(
-        self, request: falcon.asgi.Request, response: falcon.asgi.Response
-    ) -> None:
-        ready = self._state.ready
-        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        response.content_type = falcon.MEDIA_TEXT
-        response.text = "ready" if ready else "not ready"
+@attrs.frozen
+class _Page:
+    """
+    An ASGI application with one page.
 
+    :param path: path of the page; all others answer with status 404.
+    :param render: returns its status, content type and content.
+    """
 
-@attrs.frozen
-class _Metrics:
-    _metrics: RelayMetrics
+    _path: str
+    _render: Callable[[], tuple[int, str, bytes]]
 
-    async def on_get(
-        self, request: falcon.asgi.Request, response: falcon.asgi.Response
-    ) -> None:
-        response.content_type = prometheus_client.CONTENT_TYPE_LATEST
-        response.data = self._metrics.exposition()
+    async def __call__(self, scope: Event, receive: Receive, send: Send) -> None:
+        """Serve one ASGI request; scopes other than HTTP are ignored."""
+        if scope["type"] != "http":
+            return
+        headers: Headers = ()
+        if scope["path"] != self._path:
+            status, content_type, body = 404, TEXT, b""
+        elif scope["method"] != "GET":
+            status, content_type, body = 405, TEXT, b""
+            headers = ((b"allow", b"GET"),)
+        else:
+            status, content_type, body = self._render()
+        headers = (
+            (b"content-type", content_type.encode()),
+            (b"content-length", str(len(body)).encode()),
+            *headers,
+        )
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
 
 
-def readiness_app(state: RelayState, path: str) -> falcon.asgi.App:
+def readiness_app(state: RelayState, path: str) -> _Page:
     """
     Return the application that reports the node's readiness to the load balancer.
 
     :param state: the node's state.
     :param path: the path that answers with status 200 if ready, 503 if not.
     """
-    app = falcon.asgi.App()
-    app.add_route(path, _Readiness(state))
-    return app
+    return _Page(
+        path,
+        lambda: (200, TEXT, b"ready") if state.ready else (503, TEXT, b"not ready"),
+    )
 
 
-def metrics_app(metrics: RelayMetrics) -> falcon.asgi.App:
+def metrics_app(metrics: RelayMetrics) -> _Page:
     """Return the application that serves the metrics under ``/metrics``."""
-    app = falcon.asgi.App()
-    app.add_route("/metrics", _Metrics(metrics))
-    return app
+    content_type = prometheus_client.CONTENT_TYPE_LATEST
+    return _Page("/metrics", lambda: (200, content_type, metrics.exposition()))
