--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -146,13 +146,13 @@
             self._discard(len(data))
             return
         # With pipelining, data in which headers begin may hold the request before, too.
-        others = int(self._in_message)
+        open_before = int(self._in_message)
         self._messages_begun = 0
         super().data_received(data)
         if self._reading_headers and not self._rejected:
             # The parser reports a header only when it is complete, so one that never
             # ends is noticed only here.
-            if self._messages_begun + others <= 1:
+            if self._messages_begun + open_before <= 1:
                 self._raw_header_bytes += len(data)
             if self._raw_header_bytes > self._policy.max_bytes:
                 self._reject(self._policy.too_large)
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -309,11 +309,12 @@
             for name, value in head.headers
             if name not in dropped
         )
-        own = dict(head.headers)
+        by_name = dict(head.headers)
         with contextlib.suppress(codec.InvalidValue):
-            self.backend = decode_backend(own.get(BACKEND_HEADER, b""))
+            self.backend = decode_backend(by_name.get(BACKEND_HEADER, b""))
         self.from_backend = self.backend is not None or head.sealed
-        self.own_signature = own.get(OWN_RESPONSE_HEADER, b"").decode("latin-1")
+        signature = by_name.get(OWN_RESPONSE_HEADER, b"")
+        self.own_signature = signature.decode("latin-1")
         return attrs.evolve(head, headers=headers)
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,6 +1,7 @@
 """The platform adapter: decoding, rejected input, and wire names used nowhere else."""
 
 import asyncio
+import copy
 import json
 import os
 import pathlib
@@ -440,6 +441,30 @@
     assert (result.differences is None) == bool(unreadable)
 
 
+def test_nodes_refuse_services_accounts_and_limits_that_the_check_calls_unreadable():
+    # A number as text was taken, and failed later in every decision about the service.
+    document = configuration(7)
+    in_force = check_document(json.dumps(document).encode()).configuration
+    refused = 0
+    for path in _places(document):
+        if path[:1] not in (("services",), ("tenants",), ("limits",)):
+            continue
+        for value in ("text", "5", -1, 1.5, True, None, [], {}, [1], 10**400):
+            changed = copy.deepcopy(document)
+            container = changed
+            for name in path[:-1]:
+                container = container[name]
+            container[path[-1]] = value
+            raw = json.dumps(changed).encode()
+            findings = check_document(raw, in_force).findings
+            unreadable = any(f.problem.code == "unreadable" for f in findings)
+            reason = _rejection_reason("op/config", raw)
+            assert (reason is not None) >= unreadable, (path, value, findings)
+            refused += unreadable
+            assert "secret" not in (reason or "")
+    assert refused > 100
+
+
 def test_a_node_reads_all_ca_certificates_of_the_machine_at_its_start():
     script = (
         "import sys; sys.path.insert(0, 'platform'); import run, ssl; "
