Let the log test's outage last longer than a cut watch

The test took the store away for one failed call, deleted an engine's entry in it and expected the entry to be kept as one that may come back. The outage lasts as long as one that counts now; what the test checks of the log is the same.

--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -8,6 +8,7 @@
 
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.log_output import LogOutput
+from tanagerkeel.relay._store_contact import CUT_S
 from tests.platform.fixtures import (
     reset_connection,
     respond_with_id,
@@ -92,6 +93,8 @@
             assert (await relay.call("/lookup/x", request_id="q1")).status == 200
             relay.store.down = True
             await relay.until(lambda: relay.node.state.backends.store_unreachable)
+            # One failed call after which the next succeeds would be a cut watch.
+            await asyncio.sleep(CUT_S)
             relay.store.delete("servers/i-0")
             relay.store.down = False
             backends = relay.node.state.backends
