Set aside entries of nodes that name no usable address or another node

What callers saw: one entry of another writer under tanagerkeel/nodes/ whose address is no IP:PORT ended the task of every node that sends updates to peers, each time it started, and the store task whenever a change was to be announced; a node's stop failed at the same place, before its requests had ended. One that names another node took that node's address from all its peers.

The value was decoded by its types only, and the address was taken apart at each send, where one peer's address ends the sends to all.

Change: decode_peer checks the node's id and both addresses; an entry that fails is set aside like any other that can't be read (event 411).

Evidence: before, test_a_node_entry_without_a_usable_address_ends_no_task failed with ValueError (invalid literal for int(): 'nowhere') in the stop of a node, and the one on another node's key found the foreign address in the table. Both pass, as do the module's other five. The test of nested lists is renamed after its failure; on the code before it fails with RecursionError.

--- a/src/tanagerkeel/relay_entry/_peers.py
+++ b/src/tanagerkeel/relay_entry/_peers.py
@@ -4,7 +4,17 @@
 
 import attrs
 
-__all__ = ["NODE_KEY_PREFIX", "Peer", "PeerReport", "PeerTable", "node_id_from_key"]
+from tanagerkeel import codec
+from tanagerkeel.addresses import split_address
+
+__all__ = [
+    "NODE_KEY_PREFIX",
+    "Peer",
+    "PeerReport",
+    "PeerTable",
+    "decode_peer",
+    "node_id_from_key",
+]
 
 NODE_KEY_PREFIX = "tanagerkeel/nodes/"
 # How long a node whose key is missing after an outage of the store, or in an older copy
@@ -46,6 +56,23 @@
     signs_own_responses: bool = False
 
 
+def decode_peer(node_id: str, value: bytes) -> Peer:
+    """
+    Decode the value of a node's key.
+
+    :param node_id: the id in the key.
+    :raises InvalidValue: when the value doesn't describe a node.
+    :raises ValueError: when it names another node, or an address that can't be used.
+    """
+    peer = codec.decode(value, Peer, lenient=True)
+    if peer.node_id != node_id:
+        raise ValueError(f"the entry of {node_id!r} names {peer.node_id!r}")
+    split_address(peer.news_address)
+    if peer.forward_address:
+        split_address(peer.forward_address)
+    return peer
+
+
 @attrs.frozen
 class PeerReport:
     """
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -19,7 +19,6 @@
 
 import attrs
 
-from tanagerkeel import codec
 from tanagerkeel.backoff import full_jitter_s
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.platform import (
@@ -31,7 +30,7 @@
     WatchedStore,
 )
 from tanagerkeel.relay import SMALL_FLEET_NODES, StorePosition, watchers
-from tanagerkeel.relay_entry._peers import Peer, node_id_from_key
+from tanagerkeel.relay_entry._peers import Peer, decode_peer, node_id_from_key
 from tanagerkeel.relay_entry._rejection_log import RejectionLog
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_updates import (
@@ -551,7 +550,7 @@
         node_id = node_id_from_key(entry.key)
         try:
             if node_id is not None:
-                return self._apply_peer(codec.decode(entry.value, Peer, lenient=True))
+                return self._apply_peer(decode_peer(node_id, entry.value))
             update = self._decoder.decode_written(entry.key, entry.value)
             if update is not None:
                 self._state.apply(update, entry.revision, source)
--- a/tests/platform/test_unreadable_entries.py
+++ b/tests/platform/test_unreadable_entries.py
@@ -24,7 +24,12 @@
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_task import StoreTask
 from tanagerkeel.relay_entry._watcher_exchange import WatcherExchange
-from tests.platform.fixtures import ANY_PORT, configuration
+from tests.platform.fixtures import (
+    ANY_PORT,
+    configuration,
+    respond_with_id,
+    running_relay,
+)
 from tests.support import collect
 
 SERVER = {
@@ -70,6 +75,16 @@
     "[[]]",
     '[{"service": 1}]',
 )
+UNUSABLE_ADDRESSES = (
+    "nowhere",
+    "10.0.0.1",
+    "10.0.0.1:x",
+    "10.0.0.1:99999",
+    "10.0.0.1:-1",
+    ":80",
+    "a host:80",
+    "10.0.0.1\r\nA: b:80",
+)
 
 
 @attrs.define
@@ -130,8 +145,8 @@
         record.is_cold(now)
 
 
-async def test_deep_nesting_ends_the_task_of_no_node():
-    # Review case 3: 1,200 lists ended the store task of all nodes again and again.
+async def test_one_deeply_nested_entry_stops_no_change_of_the_store():
+    # Review case 3: 1,200 nested lists ended the store task of all nodes for good.
     for key in ENTRIES:
         for value in RAW_VALUES:
             await _check(key, value.encode())
@@ -174,6 +189,44 @@
     assert task._state.backends.get("i-1") is not None
 
 
+async def test_a_node_entry_without_a_usable_address_ends_no_task():
+    # One entry of another writer ended the tasks that send to peers, on all nodes.
+    events = []
+    async with running_relay(respond_with_id, node_count=2) as relay:
+        eliot.add_destinations(events.append)
+        try:
+            for number, address in enumerate(UNUSABLE_ADDRESSES):
+                for field in ("news_address", "forward_address"):
+                    name = f"n9-{number}-{field}"
+                    entry = {**PEER, "node_id": name, field: address}
+                    relay.store.write(f"{NODE_KEY_PREFIX}{name}", entry)
+            # Longer than the interval between two updates to peers.
+            await asyncio.sleep(2.5)
+            relay.store.write("op/config", configuration(9))
+            await relay.until(
+                lambda: all(n.state.configuration.version == 9 for n in relay.nodes)
+            )
+        finally:
+            eliot.remove_destination(events.append)
+        assert all(len(node.state.peers.others) == 1 for node in relay.nodes)
+    assert not [e for e in events if e.get("message_type") == "task_failed"]
+
+
+async def test_a_node_entry_under_the_key_of_another_node_is_set_aside():
+    # Otherwise one entry takes a living node's address from all its peers.
+    store = _Store([])
+    task = _task(store, ManualClock())
+    await task.call_store(0)
+    sound = json.dumps(PEER).encode()
+    other = json.dumps({**PEER, "news_address": "127.0.0.1:9"}).encode()
+    store.events = (
+        StoreEntry(f"{NODE_KEY_PREFIX}n9", sound, 25),
+        StoreEntry(f"{NODE_KEY_PREFIX}n8", other, 26),
+    )
+    await task.call_store(0)
+    assert task._state.peers.get("n9").news_address == ANY_PORT
+
+
 async def test_rejected_entries_are_logged_by_number_and_at_most_once_a_second():
     clock = ManualClock()
     store = _Store([])
