--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -68,6 +68,7 @@
     :param calls: names of the calls that were made, in order; ``watched`` is added when
         the wait of a ``watch`` ends.
     :param era: how many times the store has returned from a copy, plus one.
+    :param waiting: how many watches wait for a change.
     """
 
     down: bool = False
@@ -75,12 +76,14 @@
     history_lost: bool = False
     calls: list[str] = attrs.field(factory=list)
     era: int = 1
+    waiting: int = 0
     _revision: int = 10
     _items: dict[str, StoreEntry] = attrs.field(factory=dict)
     _leases: dict[int, set[str]] = attrs.field(factory=dict)
     _history: list[tuple[int, "StoreEntry | str"]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _watches_released: asyncio.Event | None = None
+    _cuts: int = 0
     # Keys whose lease was renewed.
     _renewed: set[str] = attrs.field(factory=set)
     _last_lease_id: int = 0
@@ -162,9 +165,17 @@
             raise HistoryLost
         era = self.era
         if self._revision <= after:
-            with contextlib.suppress(TimeoutError):
+            cuts = self._cuts
+            self.waiting += 1
+            try:
                 async with asyncio.timeout(wait_ms / 1_000):
                     await self._changed.wait()
+            except TimeoutError:
+                pass
+            finally:
+                self.waiting -= 1
+            if self._cuts != cuts:
+                raise PlatformUnavailable("the connection was closed")
         await self._begin_call("watched")
         if self.era != era and self._watches_released is not None:
             await self._watches_released.wait()
@@ -227,6 +238,11 @@
         self._history.append((self._revision, event))
         self._wake_watches()
 
+    def cut_watches(self) -> None:
+        """Cut the watches that wait, and go on answering all other calls."""
+        self._cuts += 1
+        self._wake_watches()
+
     def hold_watches(self) -> asyncio.Event:
         """Hold back the answers to open watches until the returned event is set."""
         self._watches_released = asyncio.Event()
--- a/tests/platform/test_removed_entries.py
+++ b/tests/platform/test_removed_entries.py
@@ -13,8 +13,9 @@
 
 import attrs
 
-from tanagerkeel.gateways.platform import PlatformUnavailable
+from tanagerkeel.gateways.platform import Changes, PlatformUnavailable
 from tanagerkeel.relay import BackendTable
+from tanagerkeel.relay._store_contact import MAX_PEER_AGE_S
 from tests.platform.fixtures import (
     LONG_CALL,
     LONG_PROMPTS,
@@ -231,6 +232,50 @@
             assert latest_s < DRAIN_BOUND_S, (state, latest_s)
 
 
+async def cut_in_series(relay: Relay, count: int) -> None:
+    """Cut the watches of all nodes while all wait, 1.5 s apart."""
+    for _ in range(count):
+        await relay.until(lambda: relay.store.waiting == len(relay.nodes))
+        relay.store.cut_watches()
+        await asyncio.sleep(1.5)
+
+
+async def test_cut_watches_do_not_keep_a_removed_engine_in_use_for_three_seconds():
+    # Review case 4: each cut began the time anew in which a missing entry may return.
+    async with relay_with_calls() as (relay, _, arrivals):
+        cutting = asyncio.create_task(cut_in_series(relay, 3))
+        await relay.until(
+            lambda: any(n.state.backends.store_unreachable for n in relay.nodes)
+        )
+        await asyncio.sleep(0.3)
+        removed_s = time.monotonic()
+        relay.store.delete("servers/i-0")
+        statuses = await send_for(relay, 4.0)
+        await cutting
+        assert set(statuses) == {200}
+        latest_s = arrivals.latest_after("i-0", removed_s)
+        assert latest_s < DRAIN_BOUND_S, latest_s
+
+
+async def test_no_watch_waits_so_long_after_a_change_that_its_cut_is_an_outage():
+    # A watch that was cut late kept an engine in use whose entry was then removed.
+    waits: list[tuple[float, int]] = []
+
+    @attrs.define
+    class RecordedStore(MemoryStore):
+        async def changes(self, prefix: str, after: int, wait_ms: int) -> Changes:
+            waits.append((time.monotonic(), wait_ms))
+            return await super().changes(prefix, after, wait_ms)
+
+    async with running_relay(respond_with_id, store=RecordedStore()) as relay:
+        await asyncio.sleep(1.0)
+        changed_s = time.monotonic()
+        relay.store.write("op/other", {})
+        await relay.until(lambda: waits[-1][0] > changed_s)
+        began_s, wait_ms = waits[-1]
+        assert began_s - changed_s + wait_ms / 1_000 < MAX_PEER_AGE_S, waits
+
+
 async def test_engines_whose_entries_lapsed_while_the_store_was_away_stay_in_use():
     async with relay_with_calls() as (relay, _, _):
         relay.store.down = True
