--- a/src/tanagerkeel/relay/_update_intervals.py
+++ b/src/tanagerkeel/relay/_update_intervals.py
@@ -24,7 +24,7 @@
 FAR_REPEATS_PER_S = 20.0
 # Shortest time between two reads of datagrams in a large fleet, in seconds for each
 # node and in all. In the longest one a failure domain of 39 nodes begins less than one
-# request at panunumpa-hub-large, so that placement rarely misses one.
+# request, so that placement rarely misses one.
 READ_INTERVAL_PER_NODE_S = 0.000_15
 MAX_READ_INTERVAL_S = 0.03
 # Number of intervals for which an update is valid: one repeat may be lost.
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -155,7 +155,8 @@
         wait_ms = WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
         if self._delay_next_call:
             # After a longer time without an answer, a cut counts as an outage.
-            wait_ms = max(0, wait_ms - math.ceil(1_000 * self._batch_delay_s))
+            delay_ms = math.ceil(1_000 * self._batch_delay_s)
+            wait_ms = min(wait_ms, max(0, WATCH_MS - delay_ms))
         confirmable_in_s = self._state.confirmable_in_s
         if confirmable_in_s is None:
             return wait_ms
