--- a/tests/platform/test_store_position.py
+++ b/tests/platform/test_store_position.py
@@ -30,7 +30,7 @@
     PlatformUnavailable,
     StoreEntry,
 )
-from tanagerkeel.relay import LargeValueCache, StorePosition, watchers
+from tanagerkeel.relay import LargeValueCache, StorePosition, _watching, watchers
 from tanagerkeel.relay_entry import RelayBounds, RelaySettings
 from tanagerkeel.relay_entry._peers import NODE_KEY_PREFIX, Peer
 from tanagerkeel.relay_entry._state import RelayState
@@ -437,6 +437,27 @@
             positions.spread(seed)
 
 
+def test_no_node_lacks_a_change_that_came_in_parts():
+    parts = []
+    first_changes_since = StorePosition.first_changes_since
+
+    def record_part(position, revision, era):
+        part = first_changes_since(position, revision, era)
+        parts.append(part is not None and part.revision < position.revision)
+        return part
+
+    with (
+        unittest.mock.patch.object(_watching, "MAX_ANSWER_BYTES", 400),
+        unittest.mock.patch.object(StorePosition, "first_changes_since", record_part),
+    ):
+        for size in (3, 17):
+            for seed in range(20, 30):
+                positions = Positions()
+                positions.begin(size)
+                positions.spread(seed)
+    assert any(parts)
+
+
 async def test_a_version_that_a_node_has_from_a_peer_is_lost_on_no_other_node():
     # Review case 2: the next node took over the revision without the versions up to it.
     fleet = _Fleet(3)
