Tell a standstill of the soak's own process from a loss by planned work

Trace: the logs of two nodes have no line from 23:16:37.66 to 39.08 by their clock, in which their time-outs of 1.40 s without data from both engines run out on time: the process that holds all engines, links and clients stood still, on a machine with a load of 23.

Change: the soak records when it stood still for over 0.3 s, which is an unplanned disruption of all engines; a loss in a request during which it did isn't one by planned work.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -65,6 +65,7 @@
     DENIED_STATUSES,
     KeptConnection,
     PlannedWork,
+    StallMonitor,
     Versions,
     loss,
 )
@@ -654,6 +655,7 @@
     ranks_first: bool = False
     series_first: bool = False
     versions: Versions = attrs.field(factory=Versions)
+    stalls: StallMonitor = attrs.field(factory=StallMonitor)
     planned: PlannedWork = attrs.field(init=False)
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
@@ -692,6 +694,7 @@
     async def run(self) -> list[str]:
         """Run the test and return the violated guarantees."""
         copies = asyncio.create_task(self.owners.keep_copies())
+        stalls = asyncio.create_task(self.stalls.run())
         try:
             await self._start()
             await self._run_faults()
@@ -699,6 +702,7 @@
             self.checker.violations += self.checker.ranks.violations()
         finally:
             copies.cancel()
+            stalls.cancel()
             for expiry in self._expiries:
                 expiry.cancel()
             for node in self.nodes:
@@ -1266,7 +1270,7 @@
         if response is None:
             return False
         lost = loss(response, self.checker.runs[name], time.monotonic() - call.sent_s)
-        if lost is not None:
+        if lost is not None and not self.stalls.stalled_since(call.sent_s):
             self.add_violation(f"LOST {name} by {node.name} {lost}")
         call.response = response if response.status else None
         self.checker.check_response(call)
@@ -1440,7 +1444,7 @@
                 keep_run(folder, options.keep / f"seed-{seed}", run.checker.violations)
         print(f"seed {seed}: {dict(run.checker.outcomes)} {run.checker.violations[:5]}")
         if options.kind == "series":
-            print(dict(run.planned.done))
+            print(dict(run.planned.done), f"{run.stalls.count} stalls")
         if options.kind == "ranks":
             ranks = run.checker.ranks
             print(f"{ranks.waited} of {len(ranks.requests)} ranked requests waited")
--- a/tests/platform/soak_series.py
+++ b/tests/platform/soak_series.py
@@ -50,6 +50,10 @@
     ).encode(),
 }
 CALL_TIMEOUT_S = 6.0
+# A later wake-up than this, in seconds, means that this process stood still, and all
+# engines and links with it: an unplanned disruption.
+STALL_S = 0.3
+WAKE_UP_S = 0.02
 # Longest series, and the pauses between two of its steps, in seconds.
 MAX_STEPS = 8
 PAUSES_S = (0.02, 0.1, 0.4, 1.0)
@@ -152,6 +156,33 @@
         self._writer.close()
 
 
+@attrs.define
+class StallMonitor:
+    """Records when this process stood still; times are monotonic, in seconds."""
+
+    _ends_s: list[float] = attrs.field(factory=list)
+    _due_s: float = float("inf")
+
+    @property
+    def count(self) -> int:
+        """How many times this process stood still."""
+        return len(self._ends_s)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            self._due_s = time.monotonic() + WAKE_UP_S
+            await asyncio.sleep(WAKE_UP_S)
+            if time.monotonic() - self._due_s > STALL_S:
+                self._ends_s.append(time.monotonic())
+
+    def stalled_since(self, begin_s: float) -> bool:
+        """Return whether this process stood still after a moment."""
+        # Other tasks may run first when it moves again.
+        is_late = time.monotonic() - self._due_s > STALL_S
+        return is_late or any(end_s > begin_s for end_s in self._ends_s)
+
+
 def loss(response: Response, runs: int, lasted_s: float) -> str | None:
     """Return how a request was lost to planned work; None if it wasn't."""
     if response.complete:
