Play the review's cases in a copy

Cause: the scripts write their records beside them, and the command put them back at the end of a case only, so that review/ was changed meanwhile, and for good after an interrupted play. Change: the scripts run in a temporary folder beside links to what they use.

--- a/tests/review.py
+++ b/tests/review.py
@@ -4,14 +4,16 @@
 ``python -m tests.review`` plays each case five times, which takes about 14 minutes, so
 that it isn't part of the default run. ``python -m tests.review --times 1 3 5`` plays
 cases 3 and 5 once. The nodes need the packages of the deploy file's build in
-``target/deps``.
+``target/deps``. The scripts run in a copy, as they write their records beside them.
 """
 
 import argparse
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
+import tempfile
 from collections.abc import Iterator, Sequence
 
 import attrs
@@ -21,6 +23,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CASES = (1, 2, 3, 4, 5)
 DEFAULT_TIMES = 5
+# What the scripts use of the checkout; they find it beside their own folder.
+USED = ("deploy", "platform", "src", "target")
 VERDICTS = {0: "held", 1: "broken", 2: "could not run"}
 
 
@@ -39,22 +43,25 @@
     verdict: str
 
 
+def _copy_to(folder: pathlib.Path) -> pathlib.Path:
+    """Return a copy of the review beside links to what its scripts use."""
+    for name in USED:
+        (folder / name).symlink_to(ROOT / name)
+    return pathlib.Path(shutil.copytree(ROOT / "review", folder / "review"))
+
+
 def _plays(cases: Sequence[int], times: int) -> Iterator[Play]:
-    for case in cases:
-        record = ROOT / "review" / str(case) / "record.txt"
-        # The record of the review stays as it was found.
-        kept = record.read_bytes()
-        try:
+    with tempfile.TemporaryDirectory(prefix="review-") as folder:
+        review = _copy_to(pathlib.Path(folder))
+        for case in cases:
             for number in range(1, times + 1):
                 ended = subprocess.run(
-                    ["sh", str(record.with_name("run.sh"))],
+                    ["sh", str(review / str(case) / "run.sh")],
                     env={**os.environ, "TROUBLE": "1"},
                     check=False,
                 )
                 verdict = VERDICTS.get(ended.returncode, f"exit {ended.returncode}")
                 yield Play(case, number, verdict)
-        finally:
-            record.write_bytes(kept)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
