--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -570,7 +570,9 @@
 
     def send_signal(self, signal_number: int) -> None:
         if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, signal_number)
+            # It may have ended without this process knowing yet.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     async def stop(self, signal_number: int) -> None:
         """Send a signal and wait for the process to end; kill it after a timeout."""
