--- a/tests/test_relay_watching.py
+++ b/tests/test_relay_watching.py
@@ -410,6 +410,32 @@
     assert 20 < new.revision < 40 and len(new.changes) == new.revision - 20
 
 
+def test_builds_that_know_no_parts_read_queries_and_answers_and_are_read():
+    old_query = attrs.make_class(
+        "OldQuery",
+        {
+            "number": attrs.field(type=int),
+            "revision": attrs.field(type=int),
+            "era": attrs.field(type=int, default=0),
+        },
+    )
+    old_fields = {
+        f.name: attrs.field(type=f.type, default=f.default)
+        for f in attrs.fields(StoreAnswer)
+        if f.name != "is_part"
+    }
+    old_answer = attrs.make_class("OldAnswer", old_fields)
+    sent = codec.pack_compact(_Query(1, 20, 3, takes_parts=True))
+    assert codec.unpack_compact(sent, old_query) == old_query(1, 20, 3)
+    sent = codec.pack_compact(old_query(1, 20, 3))
+    assert codec.unpack_compact(sent, _Query) == _Query(1, 20, 3)
+    values = (1, 20, 5, True, (("a", None, 19, 0),), 3, 7, 8)
+    sent = codec.pack_compact(StoreAnswer(*values))
+    assert codec.unpack_compact(sent, old_answer) == old_answer(*values)
+    sent = codec.pack_compact(old_answer(*values))
+    assert codec.unpack_compact(sent, StoreAnswer) == StoreAnswer(*values)
+
+
 async def test_polling_nodes_rarely_call_the_store_in_an_outage():
     # Guards against a retry storm: the platform prices calls to a store that is down
     # like any others, and each of many nodes would make several a second.
