--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -97,6 +97,28 @@
         assert await client.ask(_head(HIGH)) == 431
 
 
+async def test_a_connection_accepted_while_limits_change_answers_no_431():
+    # It kept the old limit for good: it had been made, and wasn't among the open ones.
+
+    @attrs.define
+    class Accepting(HttpServer):
+        def _create_protocol(self, **options):
+            protocol = super()._create_protocol(**options)
+            # Runs before the loop tells the protocol of its connection.
+            _limit(self, HIGH)
+            return protocol
+
+    server = Accepting(_answer, "127.0.0.1", 0, HeaderPolicy(LOW), KEEP_ALIVE_S)
+    await server.start()
+    host, _, port = server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        assert await _Client(reader, writer).ask(_head(12_000)) == 200
+    finally:
+        writer.close()
+        await server.stop(0.0)
+
+
 async def test_open_connections_refuse_headers_over_a_lowered_limit():
     async with _open_connection(HIGH) as (server, client):
         assert await client.ask(_head(12_000)) == 200
