Log the age of the configuration with each 404 and 401 of a relay node

A refusal named the version that it rests on and not when the store last confirmed it, so that a refusal by an old view looked like one by a current view.

--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -67,20 +67,22 @@
     version = configuration.version
     route = configuration.route_for(request.host, request.path)
     if route is None:
-        return Refusal(ResultCode.NOT_FOUND, f"no route in version {version}")
+        return Refusal(
+            ResultCode.NOT_FOUND, f"no route in version {version}, {_age(state)}"
+        )
     account = None
     if configuration.accounts is not None and not route.public:
         if not state.confirmed:
-            age_s = state.confirmed_age_s
             return Refusal(
                 ResultCode.NO_CONFIGURATION,
-                f"keys of version {version} last confirmed {age_s:.2f} s ago",
+                f"keys of version {version} {_age(state)}",
                 OTHER_NODE_RETRY_S,
             )
         account = configuration.account_for(request.key) if request.key else None
         if account is None:
             return Refusal(
-                ResultCode.UNAUTHENTICATED, f"no account in version {version}"
+                ResultCode.UNAUTHENTICATED,
+                f"no account in version {version}, {_age(state)}",
             )
     service = configuration.service(route.service_for(request.request_id))
     if service is None:
@@ -91,3 +93,7 @@
         )
     rank = configuration.rank_of(service.name, route, account)
     return Admitted(route, service, account, version, rank)
+
+
+def _age(state: RelayState) -> str:
+    return f"last confirmed {state.confirmed_age_s:.2f} s ago"
