--- a/tests/platform/test_news_of_leaving.py
+++ b/tests/platform/test_news_of_leaving.py
@@ -22,7 +22,7 @@
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_task import StoreTask
 from tanagerkeel.relay_entry._watcher_exchange import WatcherExchange
-from tests.platform.fixtures import ANY_PORT, MemoryStore
+from tests.platform.fixtures import ANY_PORT, MemoryStore, configuration
 from tests.platform.test_removed_entries import (
     DRAIN_BOUND_S,
     NodeCalls,
@@ -33,6 +33,14 @@
 # When a machine counts as in touch again after a disruption, in seconds, in fleets that
 # are so large that nodes poll watchers.
 STABLE_LARGE_S = 4.0
+# The same in fleets that are smaller.
+STABLE_S = 3.0
+# From connections that fall silent to the change, in seconds, and the longest time
+# since the watches on them began.
+CHANGE_AFTER_SILENCE_S = 0.7
+WATCH_AGE_S = 0.1
+# Waits of this length and more are those of a watch after a time without changes.
+FULL_WAIT_MS = 2_000
 DELAY_S = 0.001
 # Time in which nodes have read a change, in seconds.
 PREPARED_S = 0.05
@@ -203,6 +211,46 @@
     assert max(times_s.values()) < STABLE_LARGE_S, times_s
 
 
+async def silence_all_connections(fleet: Fleet) -> None:
+    """Silence the nodes' open connections to the store when all watches are new."""
+    calls = [node.calls for node in fleet.nodes.values()]
+    async with asyncio.timeout(10.0):
+        while not all(map(_has_just_begun_a_full_watch, calls)):
+            await asyncio.sleep(0.005)
+    for each in calls:
+        each.silence_connections()
+
+
+def _has_just_begun_a_full_watch(calls: NodeCalls) -> bool:
+    age_s = time.monotonic() - calls.watch_began_s
+    return age_s < WATCH_AGE_S and calls.watch_wait_ms >= FULL_WAIT_MS
+
+
+async def test_nodes_adopt_versions_before_they_are_in_touch_after_all_fall_silent():
+    # Nodes answered 404 and 401 as an older version says.
+    async with running_fleet(6) as fleet:
+        await silence_all_connections(fleet)
+        silent_s = time.monotonic()
+        await asyncio.sleep(CHANGE_AFTER_SILENCE_S)
+        fleet.store.write("op/config", configuration())
+        async with asyncio.timeout(10.0):
+            while not all(node.state.configuration for node in fleet.nodes.values()):
+                await asyncio.sleep(0.005)
+        adopted_s = time.monotonic() - silent_s
+        assert adopted_s < STABLE_S, adopted_s
+
+
+async def test_nodes_know_who_left_before_they_are_in_touch_after_all_fall_silent():
+    # The silence counted as an outage of the store, after which entries are kept.
+    async with running_fleet(6) as fleet:
+        await silence_all_connections(fleet)
+        silent_s = time.monotonic()
+        await asyncio.sleep(CHANGE_AFTER_SILENCE_S)
+        await fleet.tell(drains=False)
+        known_s = time.monotonic() - silent_s
+        assert known_s < STABLE_S, known_s
+
+
 async def test_no_node_drops_entries_that_lapse_while_the_store_is_away_for_all():
     for size in (6, 65):
         async with running_fleet(size) as fleet:
--- a/tests/platform/test_removed_entries.py
+++ b/tests/platform/test_removed_entries.py
@@ -45,11 +45,17 @@
 
     :param store: the store.
     :param silent: whether the watch that ends next gets no response.
+    :param watch_began_s: monotonic time at which the latest watch began, in seconds.
+    :param watch_wait_ms: how long it may wait, in milliseconds.
     """
 
     store: MemoryStore
     silent: bool = False
+    watch_began_s: float = 0.0
+    watch_wait_ms: int = 0
     _turned_away: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Set once the connections that are open now have fallen silent.
+    _connections_silent: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __getattr__(self, name: str):
         return getattr(self.store, name)
@@ -62,12 +68,34 @@
         """Let the node's calls succeed again."""
         self._turned_away.clear()
 
+    def silence_connections(self) -> None:
+        """Let the calls that are open get no response, while new ones do."""
+        self._connections_silent.set()
+        self._connections_silent = asyncio.Event()
+
     async def list_all(self, prefix: str):
         self._check()
         return await self.store.list_all(prefix)
 
     async def changes(self, prefix: str, after: int, wait_ms: int):
         self._check()
+        began_s = time.monotonic()
+        if wait_ms:
+            self.watch_began_s, self.watch_wait_ms = began_s, wait_ms
+        call = asyncio.ensure_future(self._changes(prefix, after, wait_ms))
+        silence = asyncio.ensure_future(self._connections_silent.wait())
+        try:
+            await asyncio.wait((call, silence), return_when="FIRST_COMPLETED")
+            if call.done():
+                return call.result()
+            until_s = began_s + wait_ms / 1_000 + CALL_TIMEOUT_S
+            await asyncio.sleep(until_s - time.monotonic())
+            raise PlatformUnavailable("no response in time")
+        finally:
+            call.cancel()
+            silence.cancel()
+
+    async def _changes(self, prefix: str, after: int, wait_ms: int):
         watch = asyncio.ensure_future(self.store.changes(prefix, after, wait_ms))
         turned_away = asyncio.ensure_future(self._turned_away.wait())
         try:
