Back a watch that is overdue with a call on a new connection

Callers got 404 and 401 as an older version says after all open connections had fallen silent. A watch on a silent connection was given up 1.5 s after its wait of up to 2.2 s, later than the 3 s after which nodes are in touch again; a hint of a peer, which ends such a watch sooner, comes from nobody if the watches of all nodes are silent. The failure also counted as an outage of the store, after which entries that were removed are kept for 2 s more. The call that followed could get another silent connection from the pool.

A watch without an answer 0.3 s after the end of its wait is now backed by a call that doesn't wait, on a connection of its own; the first answer wins. A slow store still has its time, as the watch goes on.

--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -30,6 +30,7 @@
     WatchedStore,
 )
 from tanagerkeel.relay import SMALL_FLEET_NODES, StorePosition, watchers
+from tanagerkeel.relay_entry._backed_watch import BackedWatch, TimedChanges
 from tanagerkeel.relay_entry._peers import Peer, decode_peer, node_id_from_key
 from tanagerkeel.relay_entry._rejection_log import RejectionLog
 from tanagerkeel.relay_entry._state import RelayState
@@ -113,8 +114,13 @@
     _in_gap: asyncio.Event = attrs.field(factory=asyncio.Event)
     _era_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    _backed_watch: BackedWatch = attrs.field()
     _rejections: RejectionLog = attrs.field()
 
+    @_backed_watch.default
+    def _make_backed_watch(self) -> BackedWatch:
+        return BackedWatch(self._store, self._state.clock)
+
     @_rejections.default
     def _make_rejections(self) -> RejectionLog:
         return RejectionLog(self._state.clock)
@@ -394,7 +400,7 @@
             if self._lists_next:
                 self._apply_listing(await self._store.list_all(ALL_KEYS))
             else:
-                confirmed_s += await self._fetch_changes(
+                confirmed_s = await self._fetch_changes(
                     self._position.revision, wait_ms
                 )
         except _EraEnded:
@@ -415,12 +421,11 @@
         """
         Fetch changes and apply them.
 
-        :returns: for how long after the start of the call the state was confirmed, in
-            seconds: the whole wait when nothing changed during it, otherwise 0.
+        :returns: boot-clock time up to which the state is confirmed, in seconds.
         :raises _EraEnded: when the changes belong to another era than ``after``.
         """
-        sent_s = self._state.clock.boottime()
-        changes = await self._watch(after, wait_ms)
+        answer = await self._watch(after, wait_ms)
+        changes = answer.changes
         if changes.era != self._position.era:
             raise _EraEnded
         # Otherwise a peer has sent these changes meanwhile, and maybe later ones.
@@ -430,14 +435,10 @@
             for change in changes.events:
                 self._apply_change(change, changes.revision, "watch")
             self._record_changes(changes)
-        waited_s = self._state.clock.boottime() - sent_s
         self._delay_next_call = bool(changes.events)
-        if changes.events or waited_s < wait_ms / 1_000:
-            return 0.0
-        # The store reported no change up to the end of the requested wait.
-        return wait_ms / 1_000
+        return answer.confirmed_s
 
-    async def _watch(self, after: int, wait_ms: int) -> Changes:
+    async def _watch(self, after: int, wait_ms: int) -> TimedChanges:
         """
         Watch for changes.
 
@@ -447,7 +448,9 @@
         """
         # The caller has just checked that the era is the listing's.
         self._era_changed.clear()
-        watch = asyncio.ensure_future(self._store.changes(ALL_KEYS, after, wait_ms))
+        watch = asyncio.ensure_future(
+            self._backed_watch.changes(ALL_KEYS, after, wait_ms)
+        )
         era_change = asyncio.ensure_future(self._era_changed.wait())
         behind = asyncio.ensure_future(
             self._exchange.wait_until_behind(HINT_PATIENCE_S)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -747,6 +747,43 @@
         raise AssertionError("half of an answer was taken")
 
 
+async def test_a_call_after_a_silent_watch_uses_no_connection_that_was_open_before():
+    # The next call got another silent connection, and timed out as well.
+    import aiohttp
+
+    answer = b'{"events":[],"storeRevision":6}'
+    connections = []
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        # The connections that are open when the second watch begins are silent.
+        while not (len(connections) == 1 and served):
+            await reader.readuntil(b"\r\n\r\n")
+            if len(connections) == 1 and served:
+                break
+            served.append(len(connections))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer))
+            writer.write(answer)
+        await asyncio.sleep(30.0)
+
+    served = []
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True)
+            ) as unpooled,
+        ):
+            store = PlatformStore(session, f"{host}:{port}", unpooled)
+            await store.changes("", 5, 10)
+            assert (await store.changes("", 5, 0)).revision == 6
+    finally:
+        server.close()
+    assert served == [1, 2]
+
+
 async def test_pages_of_a_listing_are_joined():
     import aiohttp
 
