Refuse with 401 and 404 only by a configuration that was confirmed lately

Callers got 404 and 401, which clients don't retry, for routes and keys that the store had accepted more than the bound before. Cause: a decision for good rested on a view whose age nothing bounded (routes) or only the bound on revoked keys (4.8 s); the bound on configurations wasn't among the settings.

bounds.config_ms is one now. A request that the view doesn't allow, when the view is older, waits up to 0.25 s for a confirmation, for which the open watch is backed by a call that doesn't wait. Without one it gets a 503 with a short Retry-After, upon which another node is tried. Requests that the view allows are served as before, also by nodes that are cut off for long. A node that the store is known to be out of reach of refuses at once.

--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -31,11 +31,14 @@
     :param reason: the inputs of the decision; written to the log only.
     :param retry_after_s: value of the Retry-After header, in seconds; None when a
         retry doesn't help.
+    :param confirmable: whether a confirmation of the configuration makes it a decision
+        for good.
     """
 
     code: ResultCode
     reason: str
     retry_after_s: float | None = None
+    confirmable: bool = False
 
 
 @attrs.frozen
@@ -67,9 +70,7 @@
     version = configuration.version
     route = configuration.route_for(request.host, request.path)
     if route is None:
-        return Refusal(
-            ResultCode.NOT_FOUND, f"no route in version {version}, {_age(state)}"
-        )
+        return _final_refusal(ResultCode.NOT_FOUND, "no route", state)
     account = None
     if configuration.accounts is not None and not route.public:
         if not state.confirmed:
@@ -80,10 +81,7 @@
             )
         account = configuration.account_for(request.key) if request.key else None
         if account is None:
-            return Refusal(
-                ResultCode.UNAUTHENTICATED,
-                f"no account in version {version}, {_age(state)}",
-            )
+            return _final_refusal(ResultCode.UNAUTHENTICATED, "no account", state)
     service = configuration.service(route.service_for(request.request_id))
     if service is None:
         return Refusal(
@@ -95,5 +93,15 @@
     return Admitted(route, service, account, version, rank)
 
 
+def _final_refusal(code: ResultCode, reason: str, state: RelayState) -> Refusal:
+    """Refuse for good if no newer version may say otherwise, else until a retry."""
+    reason = f"{reason} in version {state.configuration.version}, {_age(state)}"
+    if state.current:
+        return Refusal(code, reason)
+    return Refusal(
+        ResultCode.NO_CONFIGURATION, reason, OTHER_NODE_RETRY_S, confirmable=True
+    )
+
+
 def _age(state: RelayState) -> str:
     return f"last confirmed {state.confirmed_age_s:.2f} s ago"
--- a/src/tanagerkeel/relay_entry/_backed_watch.py
+++ b/src/tanagerkeel/relay_entry/_backed_watch.py
@@ -2,7 +2,8 @@
 A watch of the platform's store that a second call backs when its answer is overdue.
 
 An open connection may fall silent for good while new ones work. Its call ends only at
-its time-out, which has to leave time for a slow store.
+its time-out, which has to leave time for a slow store. A second call also confirms the
+configuration on request, which the watch does only when it ends.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 from tanagerkeel.clock import Clock
 from tanagerkeel.gateways.platform import Changes, PlatformUnavailable, WatchedStore
+from tanagerkeel.relay_entry._confirmation import ConfirmationRequests
 
 __all__ = ["BackedWatch", "TimedChanges"]
 
@@ -40,10 +42,12 @@
 
     :param store: calls to the platform.
     :param clock: source of time.
+    :param confirmations: requests for a confirmation.
     """
 
     _store: WatchedStore
     _clock: Clock
+    _confirmations: ConfirmationRequests
 
     async def changes(self, prefix: str, after: int, wait_ms: int) -> TimedChanges:
         """
@@ -66,12 +70,22 @@
                 call.cancel()
 
     async def _ends_in_time(self, watch: asyncio.Future, wait_ms: int) -> bool:
-        """Return whether a watch has ended, or its answer is arriving, when due."""
-        await asyncio.wait((watch,), timeout=wait_ms / 1_000 + OVERDUE_S)
+        """Return whether no second call is needed until a watch ends."""
+        wanted = asyncio.ensure_future(self._confirmations.wait_until_wanted())
+        try:
+            await asyncio.wait(
+                (watch, wanted),
+                timeout=wait_ms / 1_000 + OVERDUE_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            wanted.cancel()
         return watch.done() or self._store.watch_arriving
 
     async def _call(self, prefix: str, after: int, wait_ms: int) -> TimedChanges:
         sent_s = self._clock.boottime()
+        if not wait_ms:
+            self._confirmations.accept()
         changes = await self._store.changes(prefix, after, wait_ms)
         wait_s = wait_ms / 1_000
         if changes.events or self._clock.boottime() - sent_s < wait_s:
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -8,7 +8,12 @@
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.exchange import ConnectionPool
 from tanagerkeel.relay import CallerRequest, RelayPlacement, SendFailure
-from tanagerkeel.relay_entry._admit import CAPACITY_RETRY_S, Refusal, admit
+from tanagerkeel.relay_entry._admit import (
+    CAPACITY_RETRY_S,
+    Admitted,
+    Refusal,
+    admit,
+)
 from tanagerkeel.relay_entry._forward_messages import ForwardedRequest
 from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -45,6 +50,9 @@
 # How long requests wait for the first configuration after a node's start, in seconds.
 # The configuration comes with one list call, which is answered in milliseconds.
 FIRST_CONFIGURATION_WAIT_S = 0.25
+# How long a request that the configuration doesn't allow waits for a confirmation that
+# there is no newer one, in seconds. The store answers in milliseconds.
+CONFIRMATION_WAIT_S = 0.25
 # HTTP statuses by which the node says that a backend server may have run the request.
 MAY_HAVE_RUN_STATUSES = (502, 504)
 # HTTP statuses that promise that the request has not run and never will.
@@ -154,8 +162,7 @@
         reply: CallerReply,
         forwarded: ForwardedRequest | None,
     ) -> None:
-        await self._wait_for_configuration()
-        admitted = admit(request, self._state)
+        admitted = await self._admit(request)
         if isinstance(admitted, Refusal):
             await self._refuse(request, reply, admitted)
             return
@@ -185,6 +192,16 @@
         finally:
             self._placer.release(run)
 
+    async def _admit(self, request: CallerRequest) -> Admitted | Refusal:
+        await self._wait_for_configuration()
+        admitted = admit(request, self._state)
+        match admitted:
+            case Refusal(confirmable=True):
+                await self._state.request_confirmation(CONFIRMATION_WAIT_S)
+                return admit(request, self._state)
+            case _:
+                return admitted
+
     async def _wait_for_configuration(self) -> None:
         """Wait for the first configuration; the caller may have no retry left."""
         until_s = self._state.clock.monotonic() + FIRST_CONFIGURATION_WAIT_S
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -34,6 +34,8 @@
     """
     Bounds that the deployment sets; the defaults are those of small deployments.
 
+    :param config_ms: longest time for which a request is refused by an older version of
+        the configuration, in milliseconds.
     :param revoke_ms: longest time for which a key is accepted after its revocation, in
         milliseconds.
     :param strict_revoke: whether this bound also holds while the store can't be
@@ -49,6 +51,7 @@
         sent nothing, in seconds; a longer one is cut to it.
     """
 
+    config_ms: int = _positive_field(2_000)
     revoke_ms: int = _positive_field(5_000)
     strict_revoke: bool = True
     grace_s: float = _positive_field(8.0)
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -27,6 +27,7 @@
     parse_rate_limit,
     parse_retry_after,
 )
+from tanagerkeel.relay_entry._confirmation import ConfirmationRequests
 from tanagerkeel.relay_entry._fleet_beliefs import FleetBeliefs
 from tanagerkeel.relay_entry._peers import Peer, PeerReport, PeerTable
 from tanagerkeel.relay_entry._settings import RelaySettings
@@ -42,8 +43,9 @@
 __all__ = ["RelayState"]
 
 # Time between the moment at which a configuration counts as unconfirmed and the end of
-# the bound on revoked keys, in seconds. The bound applies to when a caller sends, which
-# is before the node decides, so the margin only has to cover clock drift.
+# the bound on revoked keys or on older versions, in seconds. The bounds apply to when a
+# caller sends, which is before the node decides, so the margin only has to cover clock
+# drift.
 CONFIRM_MARGIN_S = 0.2
 # How long operators and backend servers take to write again what the store has lost, in
 # seconds.
@@ -68,6 +70,7 @@
     :param configuration: the configuration in force; None before the first.
     :param confirmed_s: boot-clock time of the store's last confirmation of it, in
         seconds.
+    :param confirmations: requests for a confirmation of it.
     :param backends: the backend servers, and which of them may get work.
     :param assignments: work that runs on backend servers, of this node and its peers.
     :param quarantine: requests that are suspected of crashing backend servers.
@@ -91,6 +94,7 @@
     clock: Clock
     configuration: RelayConfiguration | None = None
     confirmed_s: float = float("-inf")
+    confirmations: ConfirmationRequests = attrs.field(factory=ConfirmationRequests)
     backends: BackendTable = attrs.field(factory=BackendTable)
     assignments: AssignmentTable = attrs.field(factory=AssignmentTable)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
@@ -236,6 +240,25 @@
             return True
         return self.confirmed_age_s < bounds.revoke_ms / 1_000 - CONFIRM_MARGIN_S
 
+    @property
+    def current(self) -> bool:
+        """
+        Whether the configuration was confirmed recently enough to refuse for good.
+
+        Otherwise a newer version may have been in force for too long.
+        """
+        bound_s = self.settings.bounds.config_ms / 1_000
+        return self.confirmed_age_s < bound_s - CONFIRM_MARGIN_S
+
+    async def request_confirmation(self, max_wait_s: float) -> None:
+        """
+        Wait until the configuration is current, unless the store is out of reach.
+
+        :param max_wait_s: longest wait, in seconds.
+        """
+        if not self.current and not self.backends.store_unreachable:
+            await self.confirmations.request(max_wait_s)
+
     @property
     def confirmable_in_s(self) -> float | None:
         """
@@ -258,6 +281,8 @@
         """
         if confirmed_s >= self._rewritten_s:
             self.confirmed_s = max(self.confirmed_s, confirmed_s)
+            if self.current:
+                self.confirmations.confirm()
 
     def notify_changed(self) -> None:
         """Wake the tasks that wait for a change of running work or of capacity."""
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -15,7 +15,7 @@
 import itertools
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 
 import attrs
 
@@ -119,7 +119,7 @@
 
     @_backed_watch.default
     def _make_backed_watch(self) -> BackedWatch:
-        return BackedWatch(self._store, self._state.clock)
+        return BackedWatch(self._store, self._state.clock, self._state.confirmations)
 
     @_rejections.default
     def _make_rejections(self) -> RejectionLog:
@@ -155,7 +155,7 @@
 
     @property
     def _wait_ms(self) -> int:
-        if self._failures:
+        if self._failures or self._state.confirmations.wanted:
             # A short call shows sooner whether the store can be reached again.
             return 0
         wait_ms = WATCHER_WATCH_MS if self._watches_for_others else WATCH_MS
@@ -179,7 +179,9 @@
                     continue
                 await self.call_store(self._wait_ms)
                 if self._delay_next_call:
-                    await self._state.clock.sleep(self._batch_delay_s)
+                    await self._wait_unless_wanted(
+                        self._state.clock.sleep(self._batch_delay_s)
+                    )
             except PlatformUnavailable as error:
                 self._record_failure(error)
                 await self._state.clock.sleep(
@@ -188,6 +190,18 @@
                     )
                 )
 
+    async def _wait_unless_wanted(self, wait: Coroutine[None, None, None]) -> None:
+        """Wait until something ends or a confirmation is requested."""
+        waits = (
+            asyncio.ensure_future(wait),
+            asyncio.ensure_future(self._state.confirmations.wait_until_wanted()),
+        )
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for each in waits:
+                each.cancel()
+
     @property
     def _polls_watchers(self) -> bool:
         now = self._state.clock.monotonic()
@@ -232,18 +246,18 @@
                 outdated = outdated or (answer, sent_s, name)
                 continue
             await self._apply_answer(answer, sent_s, name)
-            await self._exchange.wait_for_hint(POLL_INTERVAL_S)
+            await self._wait_for_next_poll()
             return
         if outdated is not None:
             await self._apply_answer(*outdated)
-            await self._exchange.wait_for_hint(POLL_INTERVAL_S)
+            await self._wait_for_next_poll()
             return
         now = self._state.clock.monotonic()
         if any_answer and now < self._next_store_try_s:
             # The watchers can't reach the store, and this node has called it within
             # ``STORE_RETRY_S``.
             self._mark_store_unreachable()
-            await self._exchange.wait_for_hint(POLL_INTERVAL_S)
+            await self._wait_for_next_poll()
             return
         self._next_store_try_s = now + STORE_RETRY_S
         log(
@@ -255,6 +269,12 @@
         await self.call_store(wait_ms=0)
         self._watch_until_s = self._state.clock.monotonic() + DIRECT_WATCH_S
 
+    async def _wait_for_next_poll(self) -> None:
+        """Wait for a hint or the next poll; confirm the configuration on request."""
+        await self._wait_unless_wanted(self._exchange.wait_for_hint(POLL_INTERVAL_S))
+        if self._state.confirmations.wanted:
+            await self.call_store(wait_ms=0)
+
     async def _query(self, peer: Peer) -> StoreAnswer | None:
         """
         Query a node again and again while it sends parts of what it has.
@@ -398,6 +418,7 @@
         confirmed_s = self._state.clock.boottime()
         try:
             if self._lists_next:
+                self._state.confirmations.accept()
                 self._apply_listing(await self._store.list_all(ALL_KEYS))
             else:
                 confirmed_s = await self._fetch_changes(
