--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,7 +1,8 @@
 """Run the tests and print ``N passed, N failed`` as the last line.
 
-Each module runs in its own process. Tests that ``KNOWN-RED.txt`` lists also run;
-their failures are printed but do not fail the run.
+Each module runs in its own process; those in ``ALONE`` run one at a time after the
+others. Tests that ``KNOWN-RED.txt`` lists also run; their failures are printed but do
+not fail the run.
 """
 
 import argparse
@@ -17,6 +18,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEFAULT_JOBS = 4
+# Modules whose processes hold the memory of a crowd of clients.
+ALONE = ("tests.platform.test_greedy_clients", "tests.test_greedy_callers")
 TEST_NAME = re.compile(r"\btests(?:\.\w+)+\.test_\w+")
 
 
@@ -91,14 +94,21 @@
     modules = _select_modules(options.patterns)
     if only:
         modules = [m for m in modules if any(t.startswith(m + ".") for t in only)]
-    with concurrent.futures.ProcessPoolExecutor(
-        options.jobs, max_tasks_per_child=1
-    ) as pool:
-        futures = [pool.submit(run_module, module, only) for module in modules]
-        results = [future.result() for future in futures]
+    together = [module for module in modules if module not in ALONE]
+    alone = [module for module in modules if module in ALONE]
+    results = _run_modules(together, options.jobs, only)
+    results += _run_modules(alone, 1, only)
     return _print_report(results)
 
 
+def _run_modules(
+    modules: list[str], jobs: int, only: tuple[str, ...]
+) -> list[ModuleResult]:
+    with concurrent.futures.ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+        futures = [pool.submit(run_module, module, only) for module in modules]
+        return [future.result() for future in futures]
+
+
 def _print_report(results: list[ModuleResult]) -> int:
     known_ids = known_red_ids()
     ran = sum(result.ran for result in results)
