Bound what clients may hold of a process, at every address

Clients that stay outside the limits ended a process for want of memory, or took all its descriptors. Cause: nothing accounted for what clients hold. All bytes that a connection sent were parsed, so that one read became thousands of queued requests and reading was resumed with each answer; bodies were held for as long as the client liked, an announced length was not looked at, and connections were not limited.

One protocol for every address now parses one request ahead of the one in service and leaves the rest unread; refuses a longer body when it is announced, without 100 Continue; and gives bodies and unread responses a time limit. The requests of all connections share a budget, a quarter of the memory of the settings. Beyond it the client that holds most of those that have not finished sending is turned away, and not the next ordinary caller. Connections are limited by address of the process, with a share for readiness, forwards and outgoing ones; the one that has waited longest makes room. Who is turned away is refused with a status that promises that the request has not run, counted by cause, and logged at most once a second for each cause.

memory_mb and max_open_files are settings now.

--- a/src/tanagerkeel/entry/_metrics.py
+++ b/src/tanagerkeel/entry/_metrics.py
@@ -29,6 +29,7 @@
     peer_messages: prometheus_client.Counter = attrs.field(init=False)
     peer_dropped: prometheus_client.Counter = attrs.field(init=False)
     platform_calls: prometheus_client.Counter = attrs.field(init=False)
+    clients_turned_away: prometheus_client.Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         # CPU time and memory of the whole process.
@@ -62,6 +63,9 @@
         self.platform_calls = self._counter(
             "platform_calls", "Calls to the platform's service", ("kind",)
         )
+        self.clients_turned_away = self._counter(
+            "clients_turned_away", "Clients that held too much", ("cause",)
+        )
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/tanagerkeel/entry/_node.py
+++ b/src/tanagerkeel/entry/_node.py
@@ -42,6 +42,7 @@
     make_callers_app,
     make_operators_app,
 )
+from tanagerkeel.gateways.client_limits import MemoryBudget
 from tanagerkeel.gateways.engines import EngineGateway, HttpEngineGateway
 from tanagerkeel.gateways.forward import (
     ForwardedCall,
@@ -67,6 +68,13 @@
 # Wait before a failed task is restarted; also the Retry-After without configuration.
 RESTART_DELAY_S = 0.5
 MS_PER_S = 1_000
+# Shares of the descriptors for connections of callers, of other nodes that forward
+# requests, and of operators. The rest is for outgoing ones.
+CALLERS_SHARE = 0.625
+FORWARDS_SHARE = 0.125
+OPERATORS_SHARE = 0.03125
+# Longest body that is read of operators.
+MAX_OPERATORS_BODY_BYTES = 65_536
 
 
 @attrs.define
@@ -83,6 +91,8 @@
     _context: NodeContext | None = None
     _models: ModelRunner | None = None
     _services: ServiceRunner | None = None
+    _metrics: Metrics = attrs.field(factory=Metrics)
+    _client_memory: MemoryBudget = attrs.field(init=False)
     _callers: HttpServer | None = None
     _operators: HttpServer | None = None
     _bus: NngPeerBus | None = None
@@ -96,6 +106,10 @@
     _session: aiohttp.ClientSession | None = None
     _stopping: bool = False
 
+    @_client_memory.default
+    def _make_client_memory(self) -> MemoryBudget:
+        return self._settings.limits.process.budget()
+
     @property
     def callers_address(self) -> str:
         """The ``IP:PORT`` that callers connect to."""
@@ -177,7 +191,7 @@
             auto_decompress=False,
             response_class=WholeResponse,
         )
-        metrics = Metrics()
+        metrics = self._metrics
         if self._settings.control:
             self._bus = self._make_bus(metrics)
             await self._bus.start(self._settings.peers_listen)
@@ -191,10 +205,14 @@
         self._callers = self._make_server(
             make_callers_app(self, self._clock, limits.max_body_bytes),
             self._settings.callers_listen,
-            header_policy(limits.max_header_bytes),
+            CALLERS_SHARE,
+            header_policy(limits.max_header_bytes, limits.max_body_bytes),
         )
         self._operators = self._make_server(
-            make_operators_app(self), self._settings.operators_listen
+            make_operators_app(self),
+            self._settings.operators_listen,
+            OPERATORS_SHARE,
+            HeaderPolicy(max_body_bytes=MAX_OPERATORS_BODY_BYTES),
         )
         await self._callers.start()
         await self._operators.start()
@@ -247,7 +265,9 @@
         app = make_forward_app(
             self, verifier, lambda: self._forward.address, limits.max_body_bytes
         )
-        self._forward = self._make_server(app, self._settings.forward_listen)
+        self._forward = self._make_server(
+            app, self._settings.forward_listen, FORWARDS_SHARE
+        )
         await self._forward.start()
 
     def _start_control(self) -> None:
@@ -340,10 +360,22 @@
         self,
         application: object,
         address: str,
-        headers: HeaderPolicy = HeaderPolicy(),  # noqa: B008 - immutable
+        connections_share: float,
+        policy: HeaderPolicy = HeaderPolicy(),  # noqa: B008 - immutable
     ) -> HttpServer:
         host, port = split_address(address)
-        return HttpServer(application, host, port, headers)
+        turned_away = self._metrics.clients_turned_away
+        return HttpServer(
+            application,
+            host,
+            port,
+            policy,
+            memory=self._client_memory,
+            max_connections=self._settings.limits.process.connections(
+                connections_share
+            ),
+            on_turned_away=lambda cause: turned_away.labels(cause.value).inc(),
+        )
 
     def _start_tasks(self) -> None:
         context = self._context
--- a/src/tanagerkeel/entry/_settings.py
+++ b/src/tanagerkeel/entry/_settings.py
@@ -7,6 +7,7 @@
 from tanagerkeel import codec
 from tanagerkeel.addresses import split_address
 from tanagerkeel.errors import ResultCode, TanagerkeelError
+from tanagerkeel.gateways.client_limits import ProcessLimits
 
 __all__ = ["EntrySettings", "Limits", "SigningKey", "load_settings"]
 
@@ -45,6 +46,9 @@
     :param max_header_bytes: maximum size of a header block, in bytes.
     :param max_queue: maximum number of queued requests over all client accounts.
     :param max_streams: maximum number of requests that run on this node at once.
+    :param memory_mb: memory of the process, in megabytes, which bounds what callers may
+        hold.
+    :param max_open_files: descriptors of the process, which bound the connections.
     """
 
     max_body_bytes: int = attrs.field(
@@ -55,6 +59,17 @@
     )
     max_queue: int = attrs.field(default=1_000, validator=attrs.validators.gt(0))
     max_streams: int = attrs.field(default=400, validator=attrs.validators.gt(0))
+    memory_mb: float = attrs.field(
+        default=ProcessLimits().memory_mb, validator=attrs.validators.gt(0)
+    )
+    max_open_files: int = attrs.field(
+        default=ProcessLimits().max_open_files, validator=attrs.validators.gt(0)
+    )
+
+    @property
+    def process(self) -> ProcessLimits:
+        """What the VM gives the process."""
+        return ProcessLimits(self.memory_mb, self.max_open_files)
 
 
 @attrs.frozen
--- a/src/tanagerkeel/errors.py
+++ b/src/tanagerkeel/errors.py
@@ -56,6 +56,7 @@
     STOPPING = (2006, 503, "The node is stopping")
     NO_PERMIT = (2007, 503, "Cold backend servers bear no more work now")
     NO_MEMORY = (2008, 503, "Engine memory for this prompt isn't free")
+    NODE_FULL = (2009, 503, "The node has no room for this request")
 
     BACKEND_FAILED = (3001, 502, "The backend server failed")
     BACKEND_REFUSED = (3002, 503, "The backend server refused the work")
--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -1,13 +1,20 @@
 """The server's HTTP/1.1 protocol, with limits on what a client may send."""
 
 import asyncio
+import http
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["ABORT_EXTENSION", "BoundedProtocol", "HeaderPolicy", "Headers"]
+__all__ = [
+    "ABORT_EXTENSION",
+    "BoundedProtocol",
+    "HeaderPolicy",
+    "Headers",
+    "MakeResponse",
+]
 
 # Key in an ASGI scope's extensions of the function that aborts the connection.
 ABORT_EXTENSION = "tanagerkeel.abort"
@@ -27,38 +34,43 @@
 HEADER_OVERHEAD_BYTES = len(": \r\n")
 
 Headers = Sequence[tuple[bytes, bytes]]
+# Makes a whole response, with status line and headers, from the headers of a request.
+MakeResponse = Callable[[Headers], bytes]
 
 
-def _plain_too_large(_: Headers) -> bytes:
-    return (
-        b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-        b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-    )
-
-
-def _plain_malformed(_: Headers) -> bytes:
-    return b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+def _plain(status: int) -> MakeResponse:
+    line = f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"
+    response = f"{line}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
+    return lambda _: response
 
 
 @attrs.frozen
 class HeaderPolicy:
     """
-    Limits on headers, and the responses to requests that exceed them.
+    Limits on requests, and the responses to requests that exceed them.
 
-    These requests don't reach the application. The two functions get the headers
-    received up to then and return a whole response, with status line and headers.
+    The application doesn't get these requests, or sees their client disconnect. The
+    functions get the headers received up to then.
 
     :param max_bytes: largest header block that is accepted, in bytes.
     :param too_large: makes the response to a larger header block.
     :param malformed: makes the response to bytes that aren't HTTP.
     :param timeout_s: from connecting, or from the first byte of a further request, to
         the end of headers, in seconds; then the connection is closed.
+    :param max_body_bytes: longest body that may be announced, in bytes; None for any.
+    :param body_too_large: makes the response to the announcement of a longer one.
+    :param body_too_slow: makes the response to a body that doesn't arrive in time.
+    :param too_much: makes the response to a client that holds too much.
     """
 
     max_bytes: int = DEFAULT_MAX_HEADER_BYTES
-    too_large: Callable[[Headers], bytes] = _plain_too_large
-    malformed: Callable[[Headers], bytes] = _plain_malformed
+    too_large: MakeResponse = _plain(431)
+    malformed: MakeResponse = _plain(400)
     timeout_s: float = HEADER_TIMEOUT_S
+    max_body_bytes: int | None = None
+    body_too_large: MakeResponse = _plain(413)
+    body_too_slow: MakeResponse = _plain(408)
+    too_much: MakeResponse = _plain(503)
 
 
 class BoundedProtocol(HttpToolsProtocol):
@@ -188,8 +200,7 @@
 
     def on_headers_complete(self) -> None:
         """Start the request, or reject it if its headers are too large."""
-        self._reading_headers = False
-        self._cancel_header_timer()
+        self._end_headers()
         if self._rejected:
             return
         if self._header_bytes > self._policy.max_bytes:
@@ -243,12 +254,20 @@
         if self.cycle.more_body and not self.transport.is_closing():
             self._start_discard_timer()
 
-    def _reject(self, make_response: Callable[[Headers], bytes]) -> None:
+    def _end_headers(self) -> None:
+        self._reading_headers = False
+        self._cancel_header_timer()
+
+    def _reject(self, make_response: MakeResponse) -> None:
         self._rejected = True
         if self.cycle is not None and not self.cycle.response_complete:
             # The response to an earlier request on this connection isn't complete.
             self.transport.abort()
             return
+        self._write_rejection(make_response)
+
+    def _write_rejection(self, make_response: MakeResponse) -> None:
+        self._rejected = True
         self.transport.write(make_response(self.headers or ()))
         if self.transport.can_write_eof():
             self.transport.write_eof()
--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import logging
+import select
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -13,19 +14,28 @@
 
 from tanagerkeel.early_listener import BACKLOG, bind_tcp
 from tanagerkeel.errors import ResultCode, TanagerkeelError
-from tanagerkeel.gateways.http_protocol import (
-    ABORT_EXTENSION,
-    BoundedProtocol,
-    HeaderPolicy,
+from tanagerkeel.gateways.client_limits import (
+    ConnectionLimit,
+    MemoryBudget,
+    ProcessLimits,
+    TurnedAway,
 )
+from tanagerkeel.gateways.client_protocol import ClientGate, ClientProtocol
+from tanagerkeel.gateways.http_protocol import ABORT_EXTENSION, HeaderPolicy
 
 __all__ = ["ABORT_EXTENSION", "HeaderPolicy", "HttpServer"]
 
-# Turns of the event loop in which waiting connections are accepted and set up.
-ACCEPT_TURNS = 3
+# How many connections are accepted in one turn of the event loop. Those beyond the
+# limit are closed in the next turns, and hold descriptors until then.
+ACCEPTED_PER_TURN = 16
+# Turns of the event loop in which connections that were accepted are set up, and in
+# which a stopping server accepts those that wait.
+SETUP_TURNS = 3
+MAX_ACCEPT_TURNS = BACKLOG // ACCEPTED_PER_TURN
 SERVER_LOGGER = logging.getLogger("uvicorn")
 # Longest time between two requests on a connection.
 KEEP_ALIVE_S = 30
+MAX_CONNECTIONS = 10_000
 
 
 def _log_through_eliot() -> None:
@@ -35,8 +45,9 @@
 
 
 class _Server(uvicorn.Server):
-    def __init__(self, config: uvicorn.Config) -> None:
+    def __init__(self, config: uvicorn.Config, listening: socket.socket) -> None:
         super().__init__(config)
+        self._listening = listening
         self._exit_requested = asyncio.Event()
 
     def request_exit(self, force: bool = False) -> None:
@@ -55,7 +66,11 @@
         await self.on_tick(0)
         await self._exit_requested.wait()
         # Connections that wait to be accepted would be reset.
-        for _ in range(ACCEPT_TURNS):
+        for _ in range(MAX_ACCEPT_TURNS):
+            if not _has_waiting_connections(self._listening):
+                break
+            await asyncio.sleep(0)
+        for _ in range(SETUP_TURNS):
             await asyncio.sleep(0)
 
     @contextlib.contextmanager
@@ -72,8 +87,11 @@
     :param application: called for each request.
     :param host: IP address to listen on.
     :param port: port to listen on; 0 lets the system choose.
-    :param headers: limits on headers, and the responses to requests beyond them.
+    :param headers: limits on requests, and the responses to requests beyond them.
     :param listening: a socket that listens on the address already, if any.
+    :param memory: budget for what clients send, shared by the servers of a process.
+    :param max_connections: how many connections may be open.
+    :param on_turned_away: called for each client that is turned away.
     """
 
     _application: Any
@@ -85,6 +103,23 @@
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
     _placeholder: socket.socket | None = None
     _listening: socket.socket | None = attrs.field(default=None, kw_only=True)
+    _memory: MemoryBudget = attrs.field(
+        factory=lambda: ProcessLimits().budget(), kw_only=True
+    )
+    _max_connections: int = attrs.field(default=MAX_CONNECTIONS, kw_only=True)
+    _on_turned_away: Callable[[TurnedAway], None] = attrs.field(
+        default=lambda cause: None, kw_only=True
+    )
+    _gate: ClientGate = attrs.field(init=False)
+
+    @_gate.default
+    def _make_gate(self) -> ClientGate:
+        return ClientGate(
+            self._headers,
+            ConnectionLimit(self._max_connections),
+            self._memory,
+            self._on_turned_away,
+        )
 
     @property
     def address(self) -> str:
@@ -113,30 +148,36 @@
             date_header=False,
             proxy_headers=False,
             server_header=False,
+            backlog=ACCEPTED_PER_TURN,
         )
-        server = _Server(config)
+        server = _Server(config, listening)
         task = asyncio.create_task(server.serve([listening]))
         self._server = server
         self._tasks.append(task)
         while not server.started and not task.done():
             await asyncio.sleep(0.001)
+        if server.started:
+            # The event loop has set the queue's length to what it accepts in a turn.
+            listening.listen(BACKLOG)
 
-    def set_limits(self, headers: HeaderPolicy, keep_alive_s: float) -> None:
+    def set_limits(
+        self, headers: HeaderPolicy, keep_alive_s: float = KEEP_ALIVE_S
+    ) -> None:
         """
         Set the limits of new connections, and of open ones from their next request on.
 
-        :param headers: limits on headers.
+        :param headers: limits on requests.
         :param keep_alive_s: longest time between two requests, in seconds.
         """
-        self._headers = headers
+        self._gate.policy = headers
         self._keep_alive_s = keep_alive_s
         if self._server is not None:
             self._server.config.timeout_keep_alive = keep_alive_s
             for connection in list(self._server.server_state.connections):
                 connection.set_limits(headers, keep_alive_s)
 
-    def _create_protocol(self, **options: Any) -> BoundedProtocol:
-        return BoundedProtocol(self._headers, **options)
+    def _create_protocol(self, **options: Any) -> ClientProtocol:
+        return ClientProtocol(self._gate, **options)
 
     async def stop(self, grace_s: float | None = None) -> None:
         """
@@ -179,6 +220,14 @@
             self._placeholder = None
 
 
+def _has_waiting_connections(listening: socket.socket) -> bool:
+    if listening.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(listening, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _bind(host: str, port: int) -> socket.socket:
     try:
         return bind_tcp(host, port)
--- a/src/tanagerkeel/gateways/problems.py
+++ b/src/tanagerkeel/gateways/problems.py
@@ -1,5 +1,6 @@
 """Problem documents of RFC 9457."""
 
+import functools
 import http
 import math
 import re
@@ -10,7 +11,7 @@
 
 from tanagerkeel import codec
 from tanagerkeel.errors import ResultCode, TanagerkeelError
-from tanagerkeel.gateways.http_protocol import HeaderPolicy, Headers
+from tanagerkeel.gateways.http_protocol import HeaderPolicy, Headers, MakeResponse
 
 if typing.TYPE_CHECKING:
     # A node that relays opaque requests doesn't use falcon; importing it takes time.
@@ -29,6 +30,8 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
+# Retry-After of a client that held too much, in seconds.
+NODE_FULL_RETRY_S = 1
 
 
 @attrs.frozen
@@ -87,21 +90,28 @@
     return uuid.uuid4().hex
 
 
-def header_policy(max_bytes: int) -> HeaderPolicy:
+def header_policy(max_bytes: int, max_body_bytes: int | None = None) -> HeaderPolicy:
     """
     Return a policy that answers rejected requests with problem documents.
 
     :param max_bytes: largest header block that is accepted, in bytes.
+    :param max_body_bytes: longest body that may be announced, in bytes; None for any.
     """
 
-    def too_large(headers: Headers) -> bytes:
-        detail = f"more than {max_bytes} bytes"
-        return _raw_problem(ResultCode.HEADERS_TOO_LARGE, detail, headers)
-
-    def malformed(headers: Headers) -> bytes:
-        return _raw_problem(ResultCode.MALFORMED_REQUEST, "", headers)
-
-    return HeaderPolicy(max_bytes, too_large, malformed)
+    def refusal(result: ResultCode, detail: str = "") -> MakeResponse:
+        return functools.partial(_raw_problem, result, detail)
+
+    return HeaderPolicy(
+        max_bytes,
+        refusal(ResultCode.HEADERS_TOO_LARGE, f"more than {max_bytes} bytes"),
+        refusal(ResultCode.MALFORMED_REQUEST),
+        max_body_bytes=max_body_bytes,
+        body_too_large=refusal(
+            ResultCode.BODY_TOO_LARGE, f"more than {max_body_bytes} bytes"
+        ),
+        body_too_slow=refusal(ResultCode.BODY_TIMEOUT),
+        too_much=refusal(ResultCode.NODE_FULL),
+    )
 
 
 def _raw_problem(result: ResultCode, detail: str, headers: Headers) -> bytes:
@@ -116,4 +126,6 @@
         f"{REQUEST_ID_HEADER}: {request_id}",
         "Connection: close",
     )
+    if result is ResultCode.NODE_FULL:
+        lines = (*lines, f"Retry-After: {NODE_FULL_RETRY_S}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/src/tanagerkeel/relay_entry/_metrics.py
+++ b/src/tanagerkeel/relay_entry/_metrics.py
@@ -44,6 +44,7 @@
     :param repeats: sends beyond each request's first.
     :param forwarded: requests forwarded to peers, by how that ended.
     :param turned_away: waiting requests that were refused, by reason.
+    :param clients_turned_away: clients that held too much, by cause.
     :param waiting: requests that wait in order for a backend server.
     :param held_off: backend servers that asked to be sent nothing for a time.
     :param leaving: backend servers that announced in a response that they leave.
@@ -65,6 +66,7 @@
     repeats: prometheus_client.Counter = attrs.field(init=False)
     forwarded: prometheus_client.Counter = attrs.field(init=False)
     turned_away: prometheus_client.Counter = attrs.field(init=False)
+    clients_turned_away: prometheus_client.Counter = attrs.field(init=False)
     waiting: prometheus_client.Gauge = attrs.field(init=False)
     held_off: prometheus_client.Gauge = attrs.field(init=False)
     leaving: prometheus_client.Gauge = attrs.field(init=False)
@@ -100,6 +102,9 @@
         self.turned_away = _counter(
             "turned_away", "Waiting requests that were refused", ("reason",), registry
         )
+        self.clients_turned_away = _counter(
+            "clients_turned_away", "Clients that held too much", ("cause",), registry
+        )
         self.waiting = prometheus_client.Gauge(
             "tanagerkeel_relay_waiting",
             "Requests that wait in order for a backend server",
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -12,6 +12,7 @@
 from tanagerkeel.clock import Clock, SystemClock
 from tanagerkeel.errors import TanagerkeelError
 from tanagerkeel.events import LogEvent, log
+from tanagerkeel.gateways.client_limits import MemoryBudget
 from tanagerkeel.gateways.disconnect import CancelOnDisconnect
 from tanagerkeel.gateways.exchange import ConnectionPool
 from tanagerkeel.gateways.http_server import HeaderPolicy, HttpServer
@@ -20,7 +21,7 @@
 from tanagerkeel.gateways.request_signature import ForwardSigner, ForwardVerifier
 from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._domain_load_task import DomainLoadTask
-from tanagerkeel.relay_entry._forward_intake import ForwardIntake
+from tanagerkeel.relay_entry._forward_intake import MAX_ENVELOPE_BYTES, ForwardIntake
 from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._ingress import RelayIngress
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -56,6 +57,14 @@
 # Time-out of the call that deletes the node's entry, in seconds.
 LEAVE_TIMEOUT_S = 0.3
 
+# Shares of the descriptors for connections of callers, of peers that forward requests,
+# and of those who ask for readiness or metrics. The rest is for outgoing ones.
+CALLERS_SHARE = 0.625
+FORWARDS_SHARE = 0.125
+OPERATORS_SHARE = 0.03125
+# Longest body that is read of those who ask for readiness or metrics.
+MAX_OPERATORS_BODY_BYTES = 65_536
+
 TaskBody = Callable[[], Coroutine[None, None, None]]
 
 
@@ -89,11 +98,13 @@
     _peer_updates: PeerUpdateTask = attrs.field(init=False)
     _verifier: ForwardVerifier = attrs.field(init=False)
     _runner: RelayRunner = attrs.field(init=False)
+    _client_memory: MemoryBudget = attrs.field(init=False)
     _servers: list[HttpServer] = attrs.field(init=False, factory=list)
     _tasks: list[asyncio.Task] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.state = RelayState(self.settings, self._clock)
+        self._client_memory = self.settings.process_limits.budget()
         backends = self.state.backends
         self._metrics.leaving.set_function(backends.leaving_count)
         self._metrics.missing.set_function(backends.missing_count)
@@ -159,13 +170,21 @@
         callers = self._create_server(
             self.settings.callers_listen,
             CancelOnDisconnect(ingress),
-            self._callers_socket,
+            CALLERS_SHARE,
+            listening=self._callers_socket,
         )
+        pages = HeaderPolicy(max_body_bytes=MAX_OPERATORS_BODY_BYTES)
         readiness = self._create_server(
-            self.settings.readiness_listen, readiness_app(self.state, READINESS_PATH)
+            self.settings.readiness_listen,
+            readiness_app(self.state, READINESS_PATH),
+            OPERATORS_SHARE,
+            pages,
         )
         metrics = self._create_server(
-            self.settings.metrics_listen, metrics_app(self._metrics)
+            self.settings.metrics_listen,
+            metrics_app(self._metrics),
+            OPERATORS_SHARE,
+            pages,
         )
         intake = ForwardIntake(
             self.state,
@@ -174,7 +193,7 @@
             lambda: self.settings.forward_listen,
         )
         forwards = self._create_server(
-            self.settings.forward_listen, CancelOnDisconnect(intake)
+            self.settings.forward_listen, CancelOnDisconnect(intake), FORWARDS_SHARE
         )
         self._servers = [callers, forwards, readiness, metrics]
         self.state.on_caller_limits = self._apply_caller_limits
@@ -277,11 +296,14 @@
         log(LogEvent.SETTINGS_REJECTED, reason=str(error))
 
     def _apply_caller_limits(self, limits: CallerLimits) -> None:
-        headers = attrs.evolve(
-            header_policy(limits.max_header_bytes),
+        callers, forwards, *_ = self._servers
+        policy = attrs.evolve(
+            header_policy(int(limits.max_header_bytes), int(limits.max_body_bytes)),
             timeout_s=limits.header_timeout_ms / 1_000,
         )
-        self._servers[0].set_limits(headers, limits.idle_timeout_ms / 1_000)
+        callers.set_limits(policy, limits.idle_timeout_ms / 1_000)
+        max_forward_bytes = int(limits.max_body_bytes) + MAX_ENVELOPE_BYTES
+        forwards.set_limits(HeaderPolicy(max_body_bytes=max_forward_bytes))
 
     async def _leave(self) -> None:
         try:
@@ -298,10 +320,22 @@
         self,
         address: str,
         application: object,
+        connections_share: float,
+        policy: HeaderPolicy = HeaderPolicy(),  # noqa: B008 - immutable
         listening: socket.socket | None = None,
     ) -> HttpServer:
         host, port = split_address(address)
-        return HttpServer(application, host, port, HeaderPolicy(), listening=listening)
+        turned_away = self._metrics.clients_turned_away
+        return HttpServer(
+            application,
+            host,
+            port,
+            policy,
+            listening=listening,
+            memory=self._client_memory,
+            max_connections=self.settings.process_limits.connections(connections_share),
+            on_turned_away=lambda cause: turned_away.labels(cause.value).inc(),
+        )
 
     def _start_task(self, name: str, body: TaskBody) -> None:
         self._tasks.append(asyncio.create_task(self._run_forever(name, body)))
--- a/src/tanagerkeel/relay_entry/_settings.py
+++ b/src/tanagerkeel/relay_entry/_settings.py
@@ -7,6 +7,7 @@
 from tanagerkeel import codec
 from tanagerkeel.addresses import split_address
 from tanagerkeel.errors import ResultCode, TanagerkeelError
+from tanagerkeel.gateways.client_limits import ProcessLimits
 from tanagerkeel.queueing import CostRules
 
 __all__ = [
@@ -124,6 +125,8 @@
     :param queueing: how requests that wait are ordered and turned away.
     :param placement: how backend servers are chosen.
     :param cpu_share: share of the time of its cores that the VM gives the node.
+    :param memory_mb: memory of the VM, in megabytes; bounds what callers may hold.
+    :param max_open_files: descriptors of the process, which bound the connections.
     :param cpu_cores: the VM's cores. Where share and cores are small, callers connect
         to the node while its program is still being loaded.
     """
@@ -143,6 +146,13 @@
     placement: PlacementSettings = PlacementSettings()
     cpu_share: float = _positive_field(1.0)
     cpu_cores: float = _positive_field(1.0)
+    memory_mb: float = _positive_field(ProcessLimits().memory_mb)
+    max_open_files: int = _positive_field(ProcessLimits().max_open_files)
+
+    @property
+    def process_limits(self) -> ProcessLimits:
+        """What the VM gives the process."""
+        return ProcessLimits(self.memory_mb, self.max_open_files)
 
 
 def load_relay_settings(path: pathlib.Path) -> RelaySettings:
