Give a connection the limits that are in force when it is set up

A connection that was accepted at the moment of a change, between the making of its protocol and connection_made, kept the old limit on headers for good, and its client got 431 to requests within the new one. The limits are now taken again in connection_made.

--- a/src/tanagerkeel/gateways/client_protocol.py
+++ b/src/tanagerkeel/gateways/client_protocol.py
@@ -130,6 +130,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection, and close one that waits if there are too many."""
         super().connection_made(transport)
+        # They may have changed since the connection was accepted.
+        self.set_limits(self._gate.policy, self.config.timeout_keep_alive)
         self.flow = _HeldFlow(transport)
         transport.set_write_buffer_limits(MAX_UNREAD_BYTES)
         excess = self._gate.connections.open(self, self._client_address)
