Let polling nodes ask their watchers before the store for a confirmation

On request, a node that polls called the store at once, which costs the platform a call for each node. A poll is answered by a watcher in milliseconds and often suffices.

--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -156,7 +156,7 @@
         self._tasks.append(task)
         while not server.started and not task.done():
             await asyncio.sleep(0.001)
-        if server.started:
+        if server.started and listening.fileno() >= 0:
             # The event loop has set the queue's length to what it accepts in a turn.
             listening.listen(BACKLOG)
 
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -270,10 +270,15 @@
         self._watch_until_s = self._state.clock.monotonic() + DIRECT_WATCH_S
 
     async def _wait_for_next_poll(self) -> None:
-        """Wait for a hint or the next poll; confirm the configuration on request."""
+        """Wait for a hint, a request for a confirmation, or the time of a poll."""
+        confirmations = self._state.confirmations
+        if confirmations.wanted:
+            # The poll that has just ended was made on request.
+            if self._state.current:
+                confirmations.accept()
+            else:
+                await self.call_store(wait_ms=0)
         await self._wait_unless_wanted(self._exchange.wait_for_hint(POLL_INTERVAL_S))
-        if self._state.confirmations.wanted:
-            await self.call_store(wait_ms=0)
 
     async def _query(self, peer: Peer) -> StoreAnswer | None:
         """
--- a/tests/platform/test_news_of_leaving.py
+++ b/tests/platform/test_news_of_leaving.py
@@ -39,6 +39,8 @@
 # since the watches on them began.
 CHANGE_AFTER_SILENCE_S = 0.7
 WATCH_AGE_S = 0.1
+# A bound on configurations that no node keeps unless it is asked to, in milliseconds.
+SOON_MS = 300
 # Waits of this length and more are those of a watch after a time without changes.
 FULL_WAIT_MS = 2_000
 DELAY_S = 0.001
@@ -251,6 +253,22 @@
         assert known_s < STABLE_S, known_s
 
 
+async def test_a_confirmation_is_had_on_request_by_watching_and_polling_nodes():
+    for size in (6, 65):
+        async with running_fleet(size) as fleet:
+            watching = set(map(id, fleet.watching("zone-a")))
+            nodes = list(fleet.nodes.values())
+            chosen = [nodes[0], *(n for n in nodes if id(n) not in watching)]
+            for node in chosen[:3]:
+                bounds = RelayBounds(config_ms=SOON_MS)
+                node.state.settings = attrs.evolve(node.state.settings, bounds=bounds)
+                async with asyncio.timeout(10.0):
+                    while node.state.current:
+                        await asyncio.sleep(0.005)
+                    await node.state.request_confirmation(5.0)
+                    assert node.state.current
+
+
 async def test_no_node_drops_entries_that_lapse_while_the_store_is_away_for_all():
     for size in (6, 65):
         async with running_fleet(size) as fleet:
