Leave the length of forwarded bodies to the intake, and silence store connections in the soak

The intake judges the length at forwards again. The soak's planned work in series now also lets all open connections to the store fall silent; requests within the 3 s in which nodes aren't in touch aren't judged by versions.

--- a/src/tanagerkeel/gateways/http_server.py
+++ b/src/tanagerkeel/gateways/http_server.py
@@ -160,9 +160,7 @@
             # The event loop has set the queue's length to what it accepts in a turn.
             listening.listen(BACKLOG)
 
-    def set_limits(
-        self, headers: HeaderPolicy, keep_alive_s: float = KEEP_ALIVE_S
-    ) -> None:
+    def set_limits(self, headers: HeaderPolicy, keep_alive_s: float) -> None:
         """
         Set the limits of new connections, and of open ones from their next request on.
 
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -21,7 +21,7 @@
 from tanagerkeel.gateways.request_signature import ForwardSigner, ForwardVerifier
 from tanagerkeel.relay import CallerLimits
 from tanagerkeel.relay_entry._domain_load_task import DomainLoadTask
-from tanagerkeel.relay_entry._forward_intake import MAX_ENVELOPE_BYTES, ForwardIntake
+from tanagerkeel.relay_entry._forward_intake import ForwardIntake
 from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._ingress import RelayIngress
 from tanagerkeel.relay_entry._metrics import RelayMetrics
@@ -296,14 +296,11 @@
         log(LogEvent.SETTINGS_REJECTED, reason=str(error))
 
     def _apply_caller_limits(self, limits: CallerLimits) -> None:
-        callers, forwards, *_ = self._servers
         policy = attrs.evolve(
             header_policy(int(limits.max_header_bytes), int(limits.max_body_bytes)),
             timeout_s=limits.header_timeout_ms / 1_000,
         )
-        callers.set_limits(policy, limits.idle_timeout_ms / 1_000)
-        max_forward_bytes = int(limits.max_body_bytes) + MAX_ENVELOPE_BYTES
-        forwards.set_limits(HeaderPolicy(max_body_bytes=max_forward_bytes))
+        self._servers[0].set_limits(policy, limits.idle_timeout_ms / 1_000)
 
     async def _leave(self) -> None:
         try:
--- a/tests/platform/soak_series.py
+++ b/tests/platform/soak_series.py
@@ -28,6 +28,11 @@
 # Time between this process's clock reading and the event that it stands for, in
 # seconds.
 CLOCK_SLACK_S = 0.2
+# Nodes are in touch again this long after their connections fell silent, in seconds:
+# the users' ``stableWindowMs``.
+STABLE_S = 3.0
+# Shortest time between two silences, in seconds.
+SILENCE_INTERVAL_S = 5.0
 # How many of the newest versions have their routes in a configuration.
 KEPT_VERSIONS = 4
 # Statuses that a node gives to no proper request that the configuration allows.
@@ -71,6 +76,7 @@
     accepted_s: dict[int, float] = attrs.field(factory=dict)
     dropped_s: dict[int, float] = attrs.field(factory=dict)
     _header_limits: dict[int, int] = attrs.field(factory=dict)
+    _silent_s: float = float("-inf")
 
     def amend(self, document: dict) -> None:
         """Add the routes of the versions before, and change the limits."""
@@ -93,6 +99,15 @@
         for old in [*self.accepted_s][:-KEPT_VERSIONS]:
             self.dropped_s.setdefault(old, now)
 
+    def record_silence(self) -> None:
+        """Record that all open connections to the store fell silent."""
+        self._silent_s = time.monotonic()
+
+    def in_touch(self, sent_s: float) -> bool:
+        """Return whether the nodes were in touch when a request was sent."""
+        since_s = sent_s - self._silent_s
+        return not 0.0 <= since_s + CLOCK_SLACK_S < STABLE_S + 2 * CLOCK_SLACK_S
+
     def choose(self, rng: random.Random) -> int | None:
         """Return a version whose route is in force, or is dropped, everywhere."""
         bound_s = _settled_s()
@@ -112,6 +127,8 @@
 
     def violation(self, version: int, sent_s: float, status: int) -> str | None:
         """Return what is wrong with the status of a request on a version's route."""
+        if not self.in_touch(sent_s):
+            return None
         dropped_s = self.dropped_s.get(version)
         if dropped_s is None:
             return f"v{version} isn't served: {status}" if status == 404 else None
@@ -206,6 +223,7 @@
     :param owners: write the entries of operators and backend servers.
     :param configure: writes the next version of the configuration, and returns whether
         it raises the limit on headers.
+    :param silence: lets all open connections to the store fall silent.
     :param done: how many steps of each series were done.
     """
 
@@ -214,9 +232,11 @@
     store: MemoryStore
     owners: Owners
     configure: Callable[[], bool]
+    silence: Callable[[], None]
     done: collections.Counter[str] = attrs.field(factory=collections.Counter)
     _restarting: set[str] = attrs.field(factory=set)
     _configuring: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _next_silence_s: float = 0.0
 
     async def run(self, end_s: float) -> None:
         """Start series until a time, most of them while others go on."""
@@ -225,6 +245,7 @@
             "reload": self._reload,
             "configure": self._configure,
             "cut": self._cut,
+            "silence": self._silence,
             "unreadable": self._write_unreadable,
             "domain": self._take_domain_out,
         }
@@ -279,6 +300,11 @@
     async def _cut(self) -> None:
         self.store.cut_watches()
 
+    async def _silence(self) -> None:
+        if time.monotonic() >= self._next_silence_s:
+            self._next_silence_s = time.monotonic() + SILENCE_INTERVAL_S
+            self.silence()
+
     async def _write_unreadable(self) -> None:
         key = self.rng.choice(list(UNREADABLE))
         self.store.write(key, UNREADABLE[key])
