Pass on no "not run" that a backend server has not stated

Callers saw: a reservation that had run was answered 503 with the server's seal.

Cause: nothing between the response of a backend server and the caller asked whether the status is a promise, and whether the server states it. Only refusals of the node itself were checked. 503 was kept as an error response and passed on; 408 and 429 were delivered at once and counted as a success of the server.

Change: ReplyHead tells what the server states from what its status promises. 408, 429 and 503 without the statement count as failures of the server. Requests that may be repeated go to another server, and the last answer is passed on as it is. For all others the node answers 502, "ran": "unknown", without the seal, which is valid only with the status of the server. The node that forwards judges a peer's response in the same place, so that a peer of an older build passes on no promise either.

Two checks of test_forwarding_to_peers wanted 429 and 503 of an engine that had run a booking to be delivered, which is the fault itself. They now want 502, no seal, "unknown" and one run, by way of a peer and directly, and with a peer of an older build.

Why it works: a promise reaches the caller of such a request only from a response with the statement (or 421), or from the node itself while no send may have run.

--- a/src/tanagerkeel/relay/__init__.py
+++ b/src/tanagerkeel/relay/__init__.py
@@ -40,6 +40,7 @@
 )
 from tanagerkeel.relay._messages import CallerRequest, Headers, ModelDemand, ReplyHead
 from tanagerkeel.relay._migration import expected_pause_ms, should_migrate
+from tanagerkeel.relay._not_run import NOT_RUN_STATUSES
 from tanagerkeel.relay._pass_model import (
     DecodeBatch,
     Prefill,
@@ -92,6 +93,7 @@
 )
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "LONG_PROMPT_TOKENS",
     "PEER_TIMEOUT_S",
     "SMALL_FLEET_NODES",
--- a/src/tanagerkeel/relay/_messages.py
+++ b/src/tanagerkeel/relay/_messages.py
@@ -6,6 +6,8 @@
 
 __all__ = ["CallerRequest", "Headers", "ModelDemand", "ReplyHead"]
 
+FIRST_SERVER_ERROR = 500
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -135,3 +137,8 @@
         The backend server itself doesn't state it, so that the request may have run.
         """
         return self.status in NOT_RUN_STATUSES and not self.states_not_run
+
+    @property
+    def failed(self) -> bool:
+        """Whether the backend server failed to serve the request."""
+        return self.status >= FIRST_SERVER_ERROR or self.promises_unstated
--- a/src/tanagerkeel/relay_entry/_attempt.py
+++ b/src/tanagerkeel/relay_entry/_attempt.py
@@ -34,7 +34,6 @@
 # after the request ran: a request that may run only once gets a new connection.
 NO_REUSE_S = 0.0
 REUSE_IDLE_S = 30.0
-MISDIRECTED_STATUS = 421
 
 
 @attrs.define(eq=False)
@@ -185,7 +184,7 @@
         )
 
     def _record_head(self, head: ReplyHead) -> bool:
-        if head.cold_ms and (head.not_run or head.status == MISDIRECTED_STATUS):
+        if head.cold_ms and head.states_not_run:
             until_s = self._state.clock.monotonic() + head.cold_ms / 1_000
             self._state.backends.mark_cold(self.server, until_s)
         self._run.reply.name_backend(self.server)
--- a/src/tanagerkeel/relay_entry/_forwarder.py
+++ b/src/tanagerkeel/relay_entry/_forwarder.py
@@ -55,7 +55,6 @@
 NO_REUSE_S = 0.0
 STATUS_CONFLICT = 409
 STATUS_FORBIDDEN = 403
-SERVER_ERROR_STATUS = 500
 # Codes by which a peer says that another one may be able to serve the request.
 TRY_ANOTHER_CODES = frozenset(
     (
@@ -212,9 +211,7 @@
                 ),
                 on_data=lambda: None,
                 on_first_output=lambda: None,
-                withholds=lambda head: (
-                    not peer_codec.from_backend or head.status >= SERVER_ERROR_STATUS
-                ),
+                withholds=lambda head: not peer_codec.from_backend or head.failed,
             )
             outcome = await response.receive()
             complete = not isinstance(outcome, ReplyLost)
--- a/src/tanagerkeel/relay_entry/_outcomes.py
+++ b/src/tanagerkeel/relay_entry/_outcomes.py
@@ -80,7 +80,9 @@
 @attrs.frozen
 class ErrorReply:
     """
-    A complete response with a 5xx status, not yet forwarded to the caller.
+    A complete response of a backend server that failed, not yet forwarded.
+
+    Its status is 5xx, or promises "not run" without the statement that makes it true.
 
     :param head: its status and headers.
     :param body: its whole body.
--- a/src/tanagerkeel/relay_entry/_response.py
+++ b/src/tanagerkeel/relay_entry/_response.py
@@ -30,8 +30,6 @@
 
 # Responses that aren't streams are buffered until complete, up to this size.
 MAX_BUFFERED_BYTES = 1_048_576
-MISDIRECTED_STATUS = 421
-SERVER_ERROR_STATUS = 500
 
 
 class _ReplyFailed(Exception):
@@ -48,8 +46,8 @@
         self.reason = reason
 
 
-def _is_server_error(head: ReplyHead) -> bool:
-    return head.status >= SERVER_ERROR_STATUS
+def _is_failure(head: ReplyHead) -> bool:
+    return head.failed
 
 
 @attrs.define(eq=False)
@@ -87,7 +85,7 @@
     _on_head: Callable[[ReplyHead], bool]
     _on_data: Callable[[], None]
     _on_first_output: Callable[[], None]
-    _withholds: Callable[[ReplyHead], bool] = _is_server_error
+    _withholds: Callable[[ReplyHead], bool] = _is_failure
     _requires_id: bool = False
     stream_started: bool = False
     migration_requested: bool = False
@@ -105,11 +103,9 @@
         """Receive the response, forward it and return how the attempt ended."""
         try:
             head = await self._next_head()
-            if head.not_run or head.status == MISDIRECTED_STATUS:
+            if head.states_not_run:
                 await self._read_body()
-                misdirected = (
-                    head.status == MISDIRECTED_STATUS and head.blamed_address is None
-                )
+                misdirected = head.misdirected and head.blamed_address is None
                 return NotRunReply(
                     f"status {head.status}",
                     head.blamed_address,
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -7,7 +7,12 @@
 from tanagerkeel.errors import Ran, ResultCode
 from tanagerkeel.events import LogEvent, log
 from tanagerkeel.gateways.exchange import ConnectionPool
-from tanagerkeel.relay import CallerRequest, RelayPlacement, SendFailure
+from tanagerkeel.relay import (
+    NOT_RUN_STATUSES,
+    CallerRequest,
+    RelayPlacement,
+    SendFailure,
+)
 from tanagerkeel.relay_entry._admit import (
     CAPACITY_RETRY_S,
     Admitted,
@@ -55,8 +60,6 @@
 CONFIRMATION_WAIT_S = 0.25
 # HTTP statuses by which the node says that a backend server may have run the request.
 MAY_HAVE_RUN_STATUSES = (502, 504)
-# HTTP statuses that promise that the request has not run and never will.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 @attrs.define
@@ -362,7 +365,14 @@
     async def _send_backend_error(
         self, run: RelayRun, backend_error: ErrorReply
     ) -> None:
-        await run.reply.start(backend_error.head.status, backend_error.head.headers)
+        head = backend_error.head
+        if head.promises_unstated and not run.repeatable:
+            # The caller would send it again, and it may have run. The server's seal
+            # can't be forwarded with another status.
+            refusal = Refusal(ResultCode.BACKEND_FAILED, backend_error.reason)
+            await self._refuse(run.request, run.reply, refusal, run.sends)
+            return
+        await run.reply.start(head.status, head.headers)
         await run.reply.write(backend_error.body)
         await run.reply.finish()
         self._metrics.results.labels("backend_error").inc()
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -34,6 +34,7 @@
 KEY = "key-of-acme"
 # An example of a response seal; nodes check only that a response has one.
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+SEAL_HEADER = "tanagerkeel-response-seal"
 # Names the engine that announces that it leaves, for the checks of tests.
 LEAVING_ENGINE_HEADER = "x-leaving-engine"
 # Names the engine that names a limit, for the same.
@@ -585,6 +586,14 @@
     return Response(status, headers, body, True)
 
 
+def assert_promises_nothing(reply: Response, case: object) -> None:
+    """Check that a response is the node's own and leaves open whether it ran."""
+    assert reply.status == 502, (case, reply)
+    assert SEAL_HEADER not in reply.headers, (case, reply)
+    assert "retry-after" not in reply.headers, (case, reply)
+    assert json.loads(reply.body)["ran"] == "unknown", (case, reply)
+
+
 def route(name: str, kind: str, service: str, **fields: object) -> dict:
     """Return a route as it stands in the configuration's JSON."""
     return {
--- a/tests/platform/test_forwarding_to_peers.py
+++ b/tests/platform/test_forwarding_to_peers.py
@@ -26,6 +26,7 @@
 from tanagerkeel.relay_entry._forwarder import Forwarder
 from tanagerkeel.relay_entry._metrics import RelayMetrics
 from tanagerkeel.relay_entry._peers import Peer
+from tanagerkeel.relay_entry._runner import RelayRunner
 from tanagerkeel.relay_entry._state import RelayState
 from tests.fixtures import abort_with_reset
 from tests.platform.fixtures import (
@@ -35,6 +36,7 @@
     Engine,
     ReceivedRequest,
     Relay,
+    assert_promises_nothing,
     call,
     chunk,
     event,
@@ -305,6 +307,28 @@
     return old_start
 
 
+_send_backend_error = RelayRunner._send_backend_error
+
+
+async def pass_on_any_status(runner, run, backend_error) -> None:
+    """Answer a forwarded request as builds that pass on each status do."""
+    if not run.forwarded:
+        await _send_backend_error(runner, run, backend_error)
+        return
+    head = backend_error.head
+    await run.reply.start(head.status, head.headers)
+    await run.reply.write(backend_error.body)
+    await run.reply.finish()
+
+
+async def check_forwarded_promises_nothing(status: int) -> None:
+    async with cut_relay(*[problem_script(status)] * 3) as (relay, _):
+        options = {"method": "POST", "body": b"b"}
+        reply = await relay.call("/reserve/x", request_id="f", **options)
+        assert len(received_by(relay, "f")) == 1, status
+        assert_promises_nothing(reply, status)
+
+
 async def check_problem_is_delivered(status: int, *extra: str) -> None:
     async with cut_relay(*[problem_script(status, *extra)] * 3) as (relay, cut):
         options = {"method": "POST", "body": b"b"}
@@ -317,10 +341,25 @@
         assert not any(name.startswith("x-forward") for name in forwarded.headers)
 
 
+async def check_problem_promises_nothing(status: int) -> None:
+    """Check that no caller gets a "not run" that the engine has not stated."""
+    async with cut_relay(*[problem_script(status)] * 3) as (relay, cut):
+        options = {"method": "POST", "body": b"b"}
+        forwarded = await relay.call("/reserve/x", request_id="f", **options)
+        cut.mode = ""
+        direct = await relay.call("/reserve/x", node=1, request_id="d", **options)
+        for request_id, reply in (("f", forwarded), ("d", direct)):
+            assert len(received_by(relay, request_id)) == 1, status
+            assert_promises_nothing(reply, status)
+            assert not any(name.startswith("x-forward") for name in reply.headers)
+
+
 async def test_a_booking_answered_with_409_by_way_of_a_peer_runs_once():
     # Review case 1: the booking ran three times and was answered 503, "ran": "no".
-    for status in (400, 403, 404, 409, 422, 429, 500, 503):
+    for status in (400, 403, 404, 409, 422, 500):
         await check_problem_is_delivered(status)
+    for status in (429, 503):
+        await check_problem_promises_nothing(status)
 
 
 async def test_headers_of_an_engine_do_not_pass_for_those_of_a_peer():
@@ -333,8 +372,22 @@
     reply_class = _forward_intake._ForwardReply
     old_start = without_backend_of_problems(reply_class.start)
     with unittest.mock.patch.object(reply_class, "start", old_start):
-        for status in (403, 409, 503):
+        for status in (403, 409):
             await check_problem_is_delivered(status)
+        with unittest.mock.patch.object(
+            RelayRunner, "_send_backend_error", pass_on_any_status
+        ):
+            for status in (408, 429, 503):
+                await check_forwarded_promises_nothing(status)
+
+
+async def test_a_promise_that_an_older_build_passes_on_reaches_the_caller():
+    # Builds up to 9881247 pass on each status of a backend server.
+    with unittest.mock.patch.object(
+        RelayRunner, "_send_backend_error", pass_on_any_status
+    ):
+        for status in (408, 429, 503):
+            await check_forwarded_promises_nothing(status)
 
 
 async def test_only_a_signed_refusal_of_a_peer_means_not_run():
--- a/tests/platform/test_logs.py
+++ b/tests/platform/test_logs.py
@@ -19,7 +19,7 @@
 from tests.support import collect
 
 
-class _CapturedLog:
+class CapturedLog:
     """The log messages that are written inside a ``with`` block."""
 
     def __enter__(self):
@@ -41,7 +41,7 @@
     from tanagerkeel.relay_entry import RelayBounds
 
     bounds = RelayBounds(revoke_ms=1_000, grace_s=3.0)
-    with _CapturedLog() as captured:
+    with CapturedLog() as captured:
         async with running_relay(respond_with_id, bounds=bounds) as relay:
             relay.store.down = True
             await relay.until(lambda: not relay.node.state.confirmed)
@@ -58,7 +58,7 @@
     async def breaking(engine, request, writer):
         reset_connection(writer)
 
-    with _CapturedLog() as captured:
+    with CapturedLog() as captured:
         async with running_relay(breaking) as relay:
             reply = await relay.call(
                 "/reserve/x", request_id="q2", method="POST", body=b"seat"
@@ -73,7 +73,7 @@
 
 
 async def test_a_late_request_leads_to_the_engine_that_refused_it_first():
-    with _CapturedLog() as captured:
+    with CapturedLog() as captured:
         async with running_relay(shed_request, respond_with_id) as relay:
             for n in range(6):
                 reply = await relay.call("/lookup/x", request_id=f"q{n}")
@@ -94,7 +94,7 @@
         status = int(request.target.rpartition("/")[2])
         await write_response(writer, request, status)
 
-    with _CapturedLog() as captured:
+    with CapturedLog() as captured:
         async with running_relay(answer) as relay:
             for status in (500, 503):
                 options = {"method": "POST", "body": b"seat"}
@@ -109,7 +109,7 @@
 
 
 async def test_a_request_leads_to_what_was_believed_of_its_engine():
-    with _CapturedLog() as captured:
+    with CapturedLog() as captured:
         async with running_relay(respond_with_id) as relay:
             assert (await relay.call("/lookup/x", request_id="q1")).status == 200
             relay.store.down = True
