--- a/tests/platform/test_news_of_leaving.py
+++ b/tests/platform/test_news_of_leaving.py
@@ -39,6 +39,10 @@
 # since the watches on them began.
 CHANGE_AFTER_SILENCE_S = 0.7
 WATCH_AGE_S = 0.1
+# Share of the nodes whose open calls to the store get no answer.
+UNANSWERED_SHARE = 0.7
+# Users' bound on the adoption of a version, in seconds.
+CONFIG_BOUND_S = 2.0
 # A bound on configurations that no node keeps unless it is asked to, in milliseconds.
 SOON_MS = 300
 # Waits of this length and more are those of a watch after a time without changes.
@@ -253,6 +257,27 @@
         assert known_s < STABLE_S, known_s
 
 
+async def test_changes_are_late_after_the_store_leaves_open_calls_unanswered():
+    # The open calls of 7 in 10 nodes get no answer; the changes come 4.5 and 5 s later.
+    for size in (6, 20):
+        async with running_fleet(size) as fleet:
+            nodes = list(fleet.nodes.values())
+            for node in nodes[: round(UNANSWERED_SHARE * size)]:
+                node.calls.silence_connections()
+            await asyncio.sleep(4.5)
+            fleet.store.write("op/config", configuration())
+            changed_s = time.monotonic()
+            await asyncio.sleep(0.5)
+            leaving = asyncio.create_task(fleet.tell(drains=True))
+            async with asyncio.timeout(10.0):
+                while not all(node.state.configuration for node in nodes):
+                    await asyncio.sleep(0.005)
+            adopted_s = time.monotonic() - changed_s
+            assert adopted_s < CONFIG_BOUND_S, (size, adopted_s)
+            known_s = await leaving
+            assert known_s < DRAIN_BOUND_S, (size, known_s)
+
+
 async def test_a_confirmation_is_had_on_request_by_watching_and_polling_nodes():
     for size in (6, 65):
         async with running_fleet(size) as fleet:
