End an answer without a length only when its connection has closed in order

Callers saw: a 200 with the seal and a part of the body as a whole answer.

Cause: the end of the sending side counted as the end of the answer, whatever was still to be written. The reset behind it was never seen: reads report the end first, and then the answer was no longer awaited. In the chat front and towards the store, the HTTP client takes the end in the same way unless its own buffer still holds a part of the request.

Change: at the end of such an answer the node ends its own sending side, and the answer ends once all that was sent, and this end, is acknowledged; a pending error of the socket is a reset. The HTTP client of the other gateways fails if the request is not acknowledged when the body ends.

Why it works: a server that has read the request has acknowledged it with its end, so that only answers before that wait; a reset is then seen by the write or as the pending error.

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -8,6 +8,8 @@
 import attrs
 import httptools
 
+from tanagerkeel.gateways.tcp_state import pending_error, unacknowledged_bytes
+
 __all__ = [
     "BackendConnection",
     "BodyDelimiter",
@@ -35,6 +37,10 @@
 # a body. Without it, a server that sends such bytes without end would fill the memory.
 MAX_FRAMING_BYTES = 65_536
 FIRST_FINAL_STATUS = 200
+# Intervals at which the close of a connection is checked, in seconds: the first
+# one, and the longest, up to which they are doubled.
+CLOSE_CHECK_S = 0.001
+MAX_CLOSE_CHECK_S = 0.02
 
 
 class ReplyFailure(enum.Enum):
@@ -157,14 +163,19 @@
             self._end(ReplyFailure.RESET if error else ReplyFailure.ENDED)
 
     def eof_received(self) -> bool:
-        """End a response that has no length; exclude the connection from reuse."""
+        """
+        End a response that has no length once the connection has closed in order.
+
+        :returns: whether the connection stays open for what is still to be written.
+        """
+        self._not_reusable = True
         if (
             self._awaiting_response
             and self._head_received
             and self._delimiter is BodyDelimiter.CONNECTION_CLOSE
         ):
-            self._end(ReplyEnd(self._delimiter))
-        self._not_reusable = True
+            self._close_in_order()
+            return True
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -303,6 +314,37 @@
             return BodyDelimiter.LENGTH
         return BodyDelimiter.CONNECTION_CLOSE
 
+    def _close_in_order(self) -> None:
+        """End the sending side, too, and the response once that is acknowledged."""
+        try:
+            self._transport.write_eof()
+        except OSError:
+            self._end(ReplyFailure.RESET)
+            self.abort()
+            return
+        self._check_close(CLOSE_CHECK_S)
+
+    def _check_close(self, interval_s: float) -> None:
+        """
+        End the response if both sides have closed the connection.
+
+        A server may end a response before it has received the request, and reset the
+        connection afterwards: the response is whole only if no reset comes until the
+        server's system has acknowledged the request and its end.
+        """
+        if not self._awaiting_response:
+            return
+        endpoint = self._transport.get_extra_info("socket")
+        if pending_error(endpoint):
+            self._end(ReplyFailure.RESET)
+            self.abort()
+        elif self._transport.get_write_buffer_size() or unacknowledged_bytes(endpoint):
+            asyncio.get_running_loop().call_later(
+                interval_s, self._check_close, min(2 * interval_s, MAX_CLOSE_CHECK_S)
+            )
+        else:
+            self._end(ReplyEnd(self._delimiter))
+
     def _emit(self, event: Event) -> None:
         self._bytes_since_event = 0
         self._events.append(event)
--- a/src/tanagerkeel/gateways/http_client.py
+++ b/src/tanagerkeel/gateways/http_client.py
@@ -6,6 +6,8 @@
 import attrs
 from aiohttp import ClientHandlerType
 
+from tanagerkeel.gateways.tcp_state import pending_error, unacknowledged_bytes
+
 __all__ = [
     "BodyTooLong",
     "NOT_SENT_ERRORS",
@@ -72,6 +74,7 @@
     """
 
     _connection_closed: asyncio.Future | None = None
+    _ended_early: bool = False
 
     async def start(self, connection: aiohttp.connector.Connection) -> "WholeResponse":
         """Begin to receive the response, and watch for the end of its connection."""
@@ -82,7 +85,22 @@
             closed.remove_done_callback(_retrieve_exception)
             closed.add_done_callback(_retrieve_exception)
         self._connection_closed = closed
-        return await super().start(connection)
+        transport = connection.transport
+        await super().start(connection)
+        if not self._delimited:
+            self.content.on_eof(lambda: self._check_end(transport))
+        return self
+
+    def _check_end(self, transport: asyncio.Transport | None) -> None:
+        """
+        Check that the server's system had received the request when the body ended.
+
+        Called while the connection is being closed, as its errors are lost afterwards.
+        """
+        endpoint = transport and transport.get_extra_info("socket")
+        if endpoint is not None and endpoint.fileno() >= 0:
+            reset = pending_error(endpoint) != 0
+            self._ended_early = reset or unacknowledged_bytes(endpoint) > 0
 
     async def read(self) -> bytes:
         """
@@ -99,6 +117,8 @@
         if closed is not None and closed.done() and not self._delimited:
             # Raises the error that ended the connection, if any.
             closed.result()
+        if self._ended_early:
+            raise aiohttp.ClientConnectionError("reset, or ended before the request")
         return self._body
 
     async def _read_bounded(self) -> bytes:
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -293,6 +293,8 @@
     :param leaving: whether its responses announce that it leaves.
     :param retry_after: the Retry-After of its responses with status 503; None for none.
     :param rate_limit: the Server-Limit of its responses; None for none.
+    :param reads_bodies: whether it reads bodies before its script is called.
+    :param readers: what it reads from, by connection.
     :param crashed: whether :meth:`crash` ended it.
     :param late_answers: what it sends on a connection before its answer to an order.
     """
@@ -308,6 +310,10 @@
     leaving: bool = False
     retry_after: str | None = None
     rate_limit: str | None = None
+    reads_bodies: bool = True
+    readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = attrs.field(
+        factory=dict
+    )
     crashed: bool = False
     late_answers: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
@@ -352,6 +358,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self.readers[writer] = reader
         order = None
         try:
             while True:
@@ -375,6 +382,7 @@
             self.closed_connections += 1
         finally:
             self._writers.discard(writer)
+            del self.readers[writer]
             writer.close()
 
 
@@ -388,7 +396,8 @@
     for line in filter(None, lines):
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    length = int(headers.get("content-length", 0)) if engine.reads_bodies else 0
+    body = await reader.readexactly(length)
     return ReceivedRequest(method, target, headers, body, engine)
 
 
