Refuse statuses that HTTP does not define for an answer, and 101

Callers saw: an answer of an engine with status 000 and no body let the request wait until its deadline (504), and a second answer after it was delivered as that of the request (MIXED). The chat front passed the status 000 of a plain service on.

Cause: each status under 200 counted as an interim one, and none over 599 was refused. 101 ended in an exception of the parser that nobody handled. The HTTP client of the other gateways takes any three digits.

Change: gateways/http_status.py knows which statuses are interim (100, 102 to 199) and which final (200 to 599). Any other ends the attempt at once as malformed, for which 502 is answered, or another server is tried if the request may be repeated; calls of plain services fail, "unknown".

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -8,6 +8,7 @@
 import attrs
 import httptools
 
+from tanagerkeel.gateways.http_status import is_final, is_interim
 from tanagerkeel.gateways.tcp_state import pending_error, unacknowledged_bytes
 
 __all__ = [
@@ -36,7 +37,6 @@
 # Limit of the bytes of a head, of trailers, and of everything else between two parts of
 # a body. Without it, a server that sends such bytes without end would fill the memory.
 MAX_FRAMING_BYTES = 65_536
-FIRST_FINAL_STATUS = 200
 # Intervals at which the close of a connection is checked, in seconds: the first
 # one, and the longest, up to which they are doubled.
 CLOSE_CHECK_S = 0.001
@@ -187,7 +187,7 @@
         self._bytes_since_event += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._awaiting_response:
                 self._end(ReplyFailure.MALFORMED)
             self._close_unusable()
@@ -265,7 +265,11 @@
         if not self._awaiting_response:
             return
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or self._overlong:
+        if is_interim(status) or self._overlong:
+            return
+        if not is_final(status):
+            self._end(ReplyFailure.MALFORMED)
+            self._close_unusable()
             return
         self._delimiter = self._body_delimiter(status)
         if (
--- a/src/tanagerkeel/gateways/http_client.py
+++ b/src/tanagerkeel/gateways/http_client.py
@@ -6,10 +6,12 @@
 import attrs
 from aiohttp import ClientHandlerType
 
+from tanagerkeel.gateways.http_status import is_final
 from tanagerkeel.gateways.tcp_state import pending_error, unacknowledged_bytes
 
 __all__ = [
     "BodyTooLong",
+    "InvalidStatus",
     "NOT_SENT_ERRORS",
     "SendOnce",
     "WholeResponse",
@@ -65,6 +67,10 @@
     """The body of a response exceeds ``MAX_BODY_BYTES``."""
 
 
+class InvalidStatus(aiohttp.ClientPayloadError):
+    """The status of a response is none that HTTP defines for a final one."""
+
+
 class WholeResponse(aiohttp.ClientResponse):
     """
     A response whose :meth:`read` fails if its connection broke before the end.
@@ -77,7 +83,11 @@
     _ended_early: bool = False
 
     async def start(self, connection: aiohttp.connector.Connection) -> "WholeResponse":
-        """Begin to receive the response, and watch for the end of its connection."""
+        """
+        Begin to receive the response, and watch for the end of its connection.
+
+        :raises InvalidStatus: if the status isn't one of a final response.
+        """
         # Must be asked for before the connection ends; afterwards it is None.
         closed = connection.protocol.closed
         if closed is not None:
@@ -87,6 +97,8 @@
         self._connection_closed = closed
         transport = connection.transport
         await super().start(connection)
+        if not is_final(self.status):
+            raise InvalidStatus(f"status {self.status:03}")
         if not self._delimited:
             self.content.on_eof(lambda: self._check_end(transport))
         return self
--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -11,6 +11,7 @@
 from tests.fixtures import abort_with_reset
 from tests.platform.fixtures import (
     EVENT_STREAM_HEADERS,
+    SEAL,
     Engine,
     ReceivedRequest,
     Script,
@@ -20,6 +21,7 @@
     response_head,
     route,
     running_relay,
+    write_response,
 )
 from tests.support import collect
 
@@ -124,5 +126,39 @@
         assert (reply.status, reply.body) == (200, PART)
 
 
+async def test_a_status_outside_100_to_599_counts_as_an_interim_answer():
+    # RFC 9110, section 15. The node waited for another answer until the deadline, and
+    # would have taken the next one for that of the request.
+    for status in ("000", "001", "099", "101", "600", "999"):
+
+        async def invalid(engine, request, writer, status=status) -> None:
+            head = f"HTTP/1.1 {status} Trouble\r\n"
+            head += f"Tanagerkeel-Attempt-Id: {request.request_id}\r\n"
+            head += f"Tanagerkeel-Response-Seal: {SEAL}\r\n"
+            if status == "101":
+                head += "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            await write_response(writer, request, body=b"second")
+
+        async with running_relay(invalid) as relay:
+            async with asyncio.timeout(1.0):
+                reply = await relay.call("/reserve/x", method="POST", body=b"seat")
+            assert reply.status == 502, (status, reply)
+            assert b'"ran":"unknown"' in reply.body
+
+
+async def test_an_interim_answer_is_taken_for_the_final_one():
+    async def interim(engine, request, writer) -> None:
+        for status in (100, 102, 103, 199):
+            writer.write(f"HTTP/1.1 {status} Interim\r\n\r\n".encode())
+        await write_response(writer, request, body=b"final")
+
+    async with running_relay(interim) as relay:
+        reply = await relay.call("/reserve/x", method="POST", body=b"seat")
+        assert (reply.status, reply.body) == (200, b"final")
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
--- a/tests/test_early_replies.py
+++ b/tests/test_early_replies.py
@@ -1,4 +1,4 @@
-"""Replies that come before the request was read."""
+"""Replies that come before the request was read, or with an invalid status."""
 
 import asyncio
 import contextlib
@@ -80,5 +80,17 @@
             assert (answer.status, answer.body) == (200, PART)
 
 
+async def test_a_status_outside_200_to_599_is_delivered():
+    for status in ("000", "099", "101", "600", "999"):
+
+        async def reply(head, reader, writer, status=status) -> None:
+            start = f"HTTP/1.1 {status} Trouble\r\nX-Attempt-Id: a1\r\n"
+            writer.write(f"{start}Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+
+        async with service_gateway(reply) as (gateway, address):
+            assert (await failure_of(gateway, address, b"seat")).sent, status
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
