Let engines of the soak test refuse what they ran, and answer with invalid statuses

Change: two kinds of faults of answers, among those that are drawn at random; a mutant that passes on what no engine has stated; a run with nothing but such answers.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -43,6 +43,7 @@
     response_head,
     route,
 )
+from tests.platform.soak_answers import FALSE_ANSWERS, write_false_answer
 from tests.platform.soak_cuts import FirstTries
 from tests.platform.soak_eras import Owners
 from tests.platform.soak_leaving import STABLE_S, LeavingChecker
@@ -399,6 +400,10 @@
     return b"".join(event_bytes(request_id, n) for n in range(1, EVENT_COUNT + 1))
 
 
+# Kinds of faults of engines' responses besides ``FALSE_ANSWERS``.
+FAULTY_ANSWERS = ("shed", "broken", "extra", "unframed")
+
+
 def engine_script(
     checker: InvariantChecker,
     rng: random.Random,
@@ -413,7 +418,8 @@
     :param fault_rates: share of responses with each fault, read for each request.
         ``shed`` refuses the request, ``broken`` breaks the response off, ``extra``
         sends a second response, ``unframed`` sends a response with neither a length nor
-        chunks, which ends with its connection.
+        chunks, which ends with its connection. For the others, see
+        :func:`write_false_answer`.
     :param crash: crashes the engine; returns False where it can't crash now.
     """
 
@@ -437,24 +443,37 @@
             await fixtures.shed_request(engine, request, writer)
             return
         checker.record_run(request.request_id)
+        if await write_false_answer(request, writer, rng, fault_rates):
+            return
         breaks_off = rng.random() < fault_rates["broken"]
         unframed = rng.random() < fault_rates["unframed"]
         if request.target.split("/")[1] in STREAMED_KINDS:
             await _stream(request, writer, breaks_off, unframed)
             return
         await asyncio.sleep(rng.uniform(0.005, 0.05))
-        body = expected_body(request.request_id, "plain")
-        if unframed:
-            await _write_unframed(request, writer, body, breaks_off)
-        if breaks_off:
-            fixtures.reset_connection(writer)
-        await fixtures.write_response(writer, request, body=body)
-        if rng.random() < fault_rates["extra"]:
-            await fixtures.write_response(writer, request, body=b"once more")
+        sends_extra = rng.random() < fault_rates["extra"]
+        await _write_plain(request, writer, breaks_off, unframed, sends_extra)
 
     return script
 
 
+async def _write_plain(
+    request: fixtures.ReceivedRequest,
+    writer,
+    breaks_off: bool,
+    unframed: bool,
+    sends_extra: bool,
+) -> None:
+    body = expected_body(request.request_id, "plain")
+    if unframed:
+        await _write_unframed(request, writer, body, breaks_off)
+    if breaks_off:
+        fixtures.reset_connection(writer)
+    await fixtures.write_response(writer, request, body=body)
+    if sends_extra:
+        await fixtures.write_response(writer, request, body=b"once more")
+
+
 async def _write_unframed(
     request: fixtures.ReceivedRequest, writer, body: bytes, breaks_off: bool
 ) -> None:
@@ -607,6 +626,8 @@
     :param node_count: number of nodes. More than 16 poll watchers of the store.
     :param base_fault_rate: share of engines' responses that have each kind of fault
         while no such fault is injected.
+    :param false_answer_rate: the same for responses after a run that say something
+        false of it.
     :param only_faulty_responses: whether nothing but the responses of engines disturbs
         the nodes.
     :param announces_first: likewise, whether an engine announces at the start that it
@@ -646,6 +667,7 @@
     store: MemoryStore = attrs.field(factory=MemoryStore)
     node_count: int = NODE_COUNT
     base_fault_rate: float = 0.0
+    false_answer_rate: float = 0.0
     only_faulty_responses: bool = False
     announces_first: bool = False
     holds_off_first: bool = False
@@ -694,9 +716,7 @@
             self._configure_anew,
             self._silence_store,
         )
-        self.fault_rates = dict.fromkeys(
-            ("shed", "broken", "extra", "unframed"), self.base_fault_rate
-        )
+        self.fault_rates = self._usual_fault_rates
 
     async def run(self) -> list[str]:
         """Run the test and return the violated guarantees."""
@@ -723,6 +743,11 @@
                 await server.stop(0.0)
         return self.checker.violations
 
+    @property
+    def _usual_fault_rates(self) -> dict[str, float]:
+        rates = dict.fromkeys(FAULTY_ANSWERS, self.base_fault_rate)
+        return rates | dict.fromkeys(FALSE_ANSWERS, self.false_answer_rate)
+
     async def _start(self) -> None:
         for number in range(ENGINE_COUNT):
             script = engine_script(
@@ -953,7 +978,7 @@
                 name = self.rng.choice(list(self.fault_rates))
                 self.fault_rates[name] = self.rng.uniform(0.05, 0.3)
                 await asyncio.sleep(duration_s)
-                self.fault_rates[name] = self.base_fault_rate
+                self.fault_rates[name] = self._usual_fault_rates[name]
 
     async def _inject_store_fault(self, fault: str, duration_s: float) -> None:
         match fault:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -74,6 +74,25 @@
     )
 
 
+def test_a_refusal_that_no_engine_has_stated_is_detected():
+    program = str(MUTANTS / "passes_on_refusals.py")
+    checker = run_soak(
+        program=program,
+        fault_rate=0.0,
+        false_answer_rate=0.2,
+        only_faulty_responses=True,
+    )
+    assert any(line.startswith("REFUSED") for line in checker.violations), (
+        checker.violations[:3]
+    )
+
+
+def test_answers_that_say_something_false_break_no_promise():
+    checker = run_soak(false_answer_rate=0.2, only_faulty_responses=True)
+    assert not checker.violations, checker.violations
+    assert checker.outcomes["502"] > 0, checker.outcomes
+
+
 def test_a_gap_in_a_resumed_stream_is_detected():
     checker = run_soak(program=str(MUTANTS / "skips_events.py"), fault_rate=0.4)
     assert any(line.startswith(("ORDER", "MIXED")) for line in checker.violations), (
