Count what a read brings against the limit on framing after it is parsed

Cause: the limit of 65,536 bytes between two events of an answer counted each read before it was parsed. Where one read brought the head and more of the body than that, the head counted as overlong and was dropped, and the body as one without a head.

Change: a read counts after it was parsed, and only if it brought no event.

--- a/src/tanagerkeel/gateways/exchange/_connection.py
+++ b/src/tanagerkeel/gateways/exchange/_connection.py
@@ -122,6 +122,8 @@
     _lost: bool = False
     _header_bytes: int = 0
     _bytes_since_event: int = 0
+    # Whether the read that is being parsed has brought an event.
+    _emitted: bool = False
     _queued_bytes: int = 0
     _paused: bool = False
     _no_body: bool = False
@@ -184,13 +186,16 @@
             # Unsolicited bytes: no request awaits a response.
             self._close_unusable()
             return
-        self._bytes_since_event += len(data)
+        self._emitted = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if self._awaiting_response:
                 self._end(ReplyFailure.MALFORMED)
             self._close_unusable()
+        if not self._emitted:
+            # One read may bring a whole head with much of its body.
+            self._bytes_since_event += len(data)
         if self._awaiting_response and self._overlong:
             self._end(ReplyFailure.OVERLONG)
             self.abort()
@@ -351,6 +356,7 @@
 
     def _emit(self, event: Event) -> None:
         self._bytes_since_event = 0
+        self._emitted = True
         self._events.append(event)
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
