Run requests that offer an upgrade with their body

Callers saw: a POST with "Connection: Upgrade" and "Upgrade: h2c", as some HTTP clients send it by default, was answered 200 though it had run with an empty body.

Cause: llhttp ends a request with an offer with its headers and reports the rest as bytes of another protocol; uvicorn logs that and drops the rest of the read, and the next read is parsed as a request.

Change: the parser reports the offer to the protocol of the connection, which declines it: a new parser gets the method and the headers that tell where the request ends, and goes on behind them. The request starts only then, so that all limits apply once.

--- a/src/tanagerkeel/gateways/client_protocol.py
+++ b/src/tanagerkeel/gateways/client_protocol.py
@@ -170,7 +170,7 @@
         self.flow.release()
         self._parse()
 
-    def on_headers_complete(self) -> None:
+    def _start_request(self) -> None:
         """Start the request, or refuse it if the body that it announces is too long."""
         has_body, length = self._announced_body()
         max_bytes = self._policy.max_body_bytes
@@ -179,7 +179,7 @@
             self._end_headers()
             self._reject(self._policy.body_too_large)
             return
-        super().on_headers_complete()
+        super()._start_request()
         if self._rejected:
             return
         self._open_bytes.append(REQUEST_BYTES + self._header_bytes)
@@ -208,6 +208,8 @@
 
     def on_message_complete(self) -> None:
         """End the time limit of the body."""
+        if self.parser.should_upgrade():
+            return
         self._body_left = 0
         self._cancel_body_timer()
         super().on_message_complete()
--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -8,6 +8,8 @@
 import attrs
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from tanagerkeel.gateways.request_parser import RequestParser, restart_after_offer
+
 __all__ = [
     "ABORT_EXTENSION",
     "BoundedProtocol",
@@ -77,8 +79,9 @@
     """
     uvicorn's protocol with limits on headers.
 
-    When a request is answered before its body has arrived, the rest of the body is
-    read and discarded, so that the client receives the response.
+    Offers of another protocol are declined. When a request is answered before its body
+    has arrived, the rest of the body is read and discarded, so that the client receives
+    the response.
 
     :param policy: limits on headers.
     :param options: passed on to uvicorn's protocol.
@@ -86,6 +89,7 @@
 
     def __init__(self, policy: HeaderPolicy, **options: Any) -> None:
         super().__init__(**options)
+        self.parser = RequestParser(self, self._decline_offer)
         self._policy = policy
         # In force from the next request on.
         self._next_policy = policy
@@ -199,6 +203,22 @@
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
+        """Start the request, unless it offers another protocol; that comes later."""
+        if not self.parser.should_upgrade():
+            self._start_request()
+
+    def _decline_offer(self, rest: bytes) -> None:
+        """Start a request that has offered another protocol, and go on behind it."""
+        self.parser, head = restart_after_offer(
+            self.parser, self.headers, self, self._decline_offer
+        )
+        self.parser.feed_data(head)
+        if self._rejected:
+            self._discard(len(rest))
+        else:
+            self.parser.feed_data(rest)
+
+    def _start_request(self) -> None:
         """Start the request, or reject it if its headers are too large."""
         self._end_headers()
         if self._rejected:
@@ -237,6 +257,8 @@
 
     def on_message_complete(self) -> None:
         """End the request; after an early response, start the keep-alive timeout."""
+        if self.parser.should_upgrade():
+            return
         self._in_message = False
         if self._rejected:
             return
