Drop the trailers of callers' requests

Cause: the parser reports trailers as headers, and the protocol added them to those of the request, whose application reads them when its body is complete or later.

Change: headers that come after the head are dropped (RFC 9110, section 6.5.1).

--- a/src/tanagerkeel/gateways/http_protocol.py
+++ b/src/tanagerkeel/gateways/http_protocol.py
@@ -197,7 +197,9 @@
             super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Count one header towards the header limit."""
+        """Count one header towards the header limit; trailers are dropped."""
+        if not self._reading_headers:
+            return
         self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self._header_bytes <= self._policy.max_bytes:
             super().on_header(name, value)
