Keep the ports of engines that tests have crashed

Cause: an engine that a test crashes or stops freed its port, and a node of another test process could get it: it answered requests for the engine with 401 or 404 (KNOWN-RED.txt, test_requests_that_share_a_section_do_not_crash_engine_after_engine). Change: each engine of the fixture has a second socket bound to its port, which does not listen, until its test ends. One test that starts another server at such a port shares it on purpose.

--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -317,11 +317,13 @@
     crashed: bool = False
     late_answers: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
+    # Keeps the port, so that no other process listens there once the engine has gone.
+    _port_holder: socket.socket | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     @property
     def address(self) -> str:
-        host, port = self._server.sockets[0].getsockname()
+        host, port = self._port_holder.getsockname()
         return f"{host}:{port}"
 
     def store_entry(self, service: str, **fields: object) -> dict:
@@ -340,7 +342,17 @@
         }
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._port_holder = socket.socket()
+        self._port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self._port_holder.bind(("127.0.0.1", 0))
+        host, port = self._port_holder.getsockname()
+        self._server = await asyncio.start_server(
+            self._serve, host, port, reuse_port=True
+        )
+
+    def release_port(self) -> None:
+        """Let other processes have the port."""
+        self._port_holder.close()
 
     async def stop(self) -> None:
         self._server.close()
@@ -859,3 +871,4 @@
             await relay.stop()
         for engine in engines:
             await engine.stop()
+            engine.release_port()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -739,6 +739,7 @@
                 await link.stop()
             for engine in self.engines:
                 await engine.stop()
+                engine.release_port()
             for server in self._store_servers:
                 await server.stop(0.0)
         return self.checker.violations
--- a/tests/platform/test_greedy_clients.py
+++ b/tests/platform/test_greedy_clients.py
@@ -124,6 +124,7 @@
                 process.kill()
             await process.wait()
             await engine.stop()
+            engine.release_port()
             await platform.stop(0.0)
 
 
--- a/tests/platform/test_prompt_sections.py
+++ b/tests/platform/test_prompt_sections.py
@@ -1,6 +1,7 @@
 """Requests whose prompts share a section that crashes each engine that answers them."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 
@@ -15,6 +16,7 @@
     Response,
     chunk,
     event,
+    respond_with_id,
     response_head,
     running_relay,
 )
@@ -207,6 +209,20 @@
             assert not state.section_quarantine._suspects, field
 
 
+async def test_the_port_of_a_crashed_engine_is_taken_by_a_node():
+    # A node of another test answered the requests to it with 401 and 404.
+    async with running_relay(respond_with_id) as relay:
+        (engine,) = relay.engines
+        engine.crash()
+        host, _, port = engine.address.rpartition(":")
+        with contextlib.suppress(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+            raise AssertionError("the engine still listens")
+        with contextlib.suppress(OSError):
+            await asyncio.start_server(lambda *_: None, host, int(port))
+            raise AssertionError("another server listens at the engine's port")
+
+
 async def test_a_request_to_a_restart_that_is_learnt_late_is_not_blamed_for_the_crash():
     release = asyncio.Event()
 
--- a/tests/platform/test_rules_fleet.py
+++ b/tests/platform/test_rules_fleet.py
@@ -235,7 +235,9 @@
         host, _, port = relay.node.state.backends.get("i-0").server.address.rpartition(
             ":"
         )
-        restarted = await asyncio.start_server(lambda r, w: None, host, int(port))
+        restarted = await asyncio.start_server(
+            lambda r, w: None, host, int(port), reuse_port=True
+        )
         async with restarted:
             await relay.until(lambda: relay.node.state.ready)
 
