Play the closed cases of the second review with those of the first

Cause: python -m tests.review knew cases 1 to 5 only. Change: cases 6, 7 and 9, too; case 8 is open.

--- a/tests/review.py
+++ b/tests/review.py
@@ -1,7 +1,7 @@
 """
-Plays the cases of the independent review again.
+Plays the cases of the independent reviews again, but for case 8, which is open.
 
-``python -m tests.review`` plays each case five times, which takes about 14 minutes, so
+``python -m tests.review`` plays each case five times, which takes about 16 minutes, so
 that it isn't part of the default run. ``python -m tests.review --times 1 3 5`` plays
 cases 3 and 5 once. The nodes need the packages of the deploy file's build in
 ``target/deps``. The scripts run in a copy, as they write their records beside them.
@@ -21,7 +21,7 @@
 __all__ = ["main"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-CASES = (1, 2, 3, 4, 5)
+CASES = (1, 2, 3, 4, 5, 6, 7, 9)
 DEFAULT_TIMES = 5
 # What the scripts use of the checkout; they find it beside their own folder.
 USED = ("deploy", "platform", "src", "target")
