--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -100,6 +100,17 @@
             assert reply.status == 502, (number, reply.status)
 
 
+async def test_an_answer_reset_later_after_a_short_upload_is_delivered_as_whole():
+    # The engine's system has taken the request, which the engine has not read.
+    upload = {**LONG_UPLOAD, "body": b"u" * 2_000}
+    for delay_s in RESET_DELAYS_S[1:]:
+        script = early_answer(PART, delay_s)
+        async with running_relay(script, document=DOCUMENT) as relay:
+            relay.engines[0].reads_bodies = False
+            reply = await relay.call("/reserve/x", **upload)
+            assert reply.status == 502, (delay_s, reply.status)
+
+
 async def test_a_stream_reset_during_a_long_upload_looks_complete():
     script = early_answer(event(1) + event(2), 0.3, *EVENT_STREAM_HEADERS)
     async with running_relay(script, service="models", document=DOCUMENT) as relay:
