--- a/review/kit_3.py
+++ b/review/kit_3.py
@@ -213,6 +213,7 @@
     def __init__(self, host: str) -> None:
         super().__init__(host)
         self.revision = 100
+        self._era = 1
         self._items = {}
         self._events = []
         self._leases = {}
@@ -242,6 +243,30 @@
             self.revision += 1
             self._record({"key": key, "revision": self.revision, "deleted": True})
 
+    @property
+    def away(self) -> bool:
+        """Whether it takes no calls."""
+        return self._server is None
+
+    def copy(self) -> dict:
+        """Return a copy from which it may come back."""
+        return {
+            "revision": self.revision,
+            "_items": {key: dict(item) for key, item in self._items.items()},
+            "_events": list(self._events),
+            "_leases": dict(self._leases),
+        }
+
+    async def come_back(self, copy: dict) -> None:
+        """Take calls again, with the contents of a copy and in a new era."""
+        self.__dict__.update(copy)
+        self._leases = {
+            lease: (ttl_ms, time.monotonic() + ttl_ms / 1_000)
+            for lease, (ttl_ms, _) in copy["_leases"].items()
+        }
+        self._era += 1
+        await self.listen()
+
     def _record(self, event: dict) -> None:
         self._events.append((self.revision, event))
         self._changed.set()
@@ -251,7 +276,7 @@
         """End the leases that were not renewed, until cancelled."""
         while True:
             await asyncio.sleep(0.05)
-            now = time.monotonic()
+            now = float("-inf") if self.away else time.monotonic()
             for lease in [i for i, (_, end_s) in self._leases.items() if end_s <= now]:
                 self._end_lease(lease)
 
@@ -267,7 +292,10 @@
         path, _, query_text = request.target.partition("?")
         query = dict(parse_query(query_text))
         body = json.loads(request.body) if request.body else {}
-        writer.write(await self._answer(request.method, path, query, body))
+        answer = await self._answer(request.method, path, query, body)
+        status_line, _, rest = answer.partition(b"\r\n")
+        era = b"Store-Era: %d" % self._era
+        writer.write(b"\r\n".join((status_line, era, rest)))
         await writer.drain()
         return True
 
@@ -319,6 +347,8 @@
     async def _watch(self, query: dict) -> bytes:
         end_s = time.monotonic() + int(query["waitMs"]) / 1_000
         after, prefix = int(query["after"]), query["prefix"]
+        if after > self.revision:
+            return encode_response(410)
         while True:
             changed = self._changed
             events = [
@@ -419,8 +449,9 @@
 
     async def _register(self) -> None:
         while True:
-            self._sequence += 1
-            self._store.write(f"servers/{self.engine_id}", self.entry())
+            if not self._store.away:
+                self._sequence += 1
+                self._store.write(f"servers/{self.engine_id}", self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     def crash(self, cause: str) -> None:
@@ -491,6 +522,17 @@
             if born == self._born:
                 self._running -= 1
         body = f"{self.service} ran {attempt}".encode()
+        return await self.answer(about, body, writer)
+
+    async def answer(
+        self, about: Pairs, body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        """
+        Answer a request that has run.
+
+        :param about: the headers that identify the request and the engine.
+        :returns: whether the connection stays open.
+        """
         writer.write(encode_response(200, body, about))
         await writer.drain()
         return True
