Let no listing in an era of unknown age confirm keys

Cause: a process knows the number of the store's era and not its age, and took its first listing for confirmed. A polling node also took its watchers' confirmation from before the return.

Change: confirmations count 2 s after a process's first listing, or once it has applied all that was written before the key tanagerkeel/settled-era names the era. A node for which they count writes the key, once an era. A copy can't hold the number of an era that begins with its return, so that the key says nothing after the next one. Requests that no confirmation can help in time are refused at once.

The fixture of the nodes' tests writes the key, as in a deployment that has run before; settled=False plays the first start of all.

--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -77,7 +77,7 @@
             return Refusal(
                 ResultCode.NO_CONFIGURATION,
                 f"keys of version {version} {_age(state)}",
-                OTHER_NODE_RETRY_S,
+                _confirmed_retry_s(state),
             )
         account = configuration.account_for(request.key) if request.key else None
         if account is None:
@@ -99,9 +99,19 @@
     if state.current:
         return Refusal(code, reason)
     return Refusal(
-        ResultCode.NO_CONFIGURATION, reason, OTHER_NODE_RETRY_S, confirmable=True
+        ResultCode.NO_CONFIGURATION,
+        reason,
+        _confirmed_retry_s(state),
+        confirmable=True,
     )
 
 
+def _confirmed_retry_s(state: RelayState) -> float:
+    """Return when the caller may come again to a node whose keys are confirmed."""
+    if state.peers.others:
+        return OTHER_NODE_RETRY_S
+    return max(OTHER_NODE_RETRY_S, state.confirmable_in_s or 0.0)
+
+
 def _age(state: RelayState) -> str:
     return f"last confirmed {state.confirmed_age_s:.2f} s ago"
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -32,6 +32,7 @@
 from tanagerkeel.relay_entry._reachability_task import ReachabilityTask
 from tanagerkeel.relay_entry._runner import RelayRunner
 from tanagerkeel.relay_entry._settings import RelaySettings, load_relay_settings
+from tanagerkeel.relay_entry._settled_era import SettledEra, SettledEraTask
 from tanagerkeel.relay_entry._signing_keys import CurrentKeyRing
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_task import StoreTask
@@ -200,15 +201,22 @@
         for server in self._servers:
             await server.start()
         await self._peer_updates.start()
+        exchange = WatcherExchange(self.state, self._peer_updates)
+        settled_era = SettledEra()
         store = StoreTask(
             self._store,
             self._decoder,
             self.state,
             self._random,
-            WatcherExchange(self.state, self._peer_updates),
+            exchange,
+            settled_era,
+        )
+        settled_era_task = SettledEraTask(
+            self._store, self.state, exchange.position, settled_era, self._random
         )
         self._start_task("store", store.run)
         self._start_task("store gaps", store.ask_in_gaps)
+        self._start_task("settled era", settled_era_task.run)
         self._start_task("presence", self._presence.run)
         self._start_task("sweep", self._sweep_idle_connections)
         self._start_task("delay", self._measure_loop_delay)
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -252,11 +252,13 @@
 
     async def request_confirmation(self, max_wait_s: float) -> None:
         """
-        Wait until the configuration is current, unless the store is out of reach.
+        Wait until the configuration is current, if the store can confirm it in time.
 
         :param max_wait_s: longest wait, in seconds.
         """
-        if not self.current and not self.backends.store_unreachable:
+        if self.current or self.backends.store_unreachable:
+            return
+        if (self.confirmable_in_s or 0.0) < max_wait_s:
             await self.confirmations.request(max_wait_s)
 
     @property
@@ -270,6 +272,19 @@
             return None
         return max(0.0, self._rewritten_s - self.clock.boottime())
 
+    @property
+    def confirmed_in_era(self) -> bool:
+        """Whether a confirmation has counted in the store's current era."""
+        return math.isfinite(self.confirmed_s) and self.confirmable_in_s is None
+
+    def await_rewrite(self) -> None:
+        """Let confirmations count only once the operator has had time to write."""
+        self._rewritten_s = self.clock.boottime() + REWRITE_S
+
+    def record_rewritten(self) -> None:
+        """Record that this node has applied what the operator has written again."""
+        self._rewritten_s = float("-inf")
+
     def record_confirmation(self, confirmed_s: float) -> None:
         """
         Record that the store confirmed the configuration in force.
@@ -387,7 +402,7 @@
     def begin_store_era(self) -> None:
         """Record that the store has returned from an older copy, before its listing."""
         self.backends.begin_store_era(self.clock.monotonic())
-        self._rewritten_s = self.clock.boottime() + REWRITE_S
+        self.await_rewrite()
         self._copy_listed = True
 
     def keep_only(self, backend_ids: set[str], domains_out: set[str]) -> None:
--- a/src/tanagerkeel/relay_entry/_store_task.py
+++ b/src/tanagerkeel/relay_entry/_store_task.py
@@ -33,6 +33,7 @@
 from tanagerkeel.relay_entry._backed_watch import BackedWatch, TimedChanges
 from tanagerkeel.relay_entry._peers import Peer, decode_peer, node_id_from_key
 from tanagerkeel.relay_entry._rejection_log import RejectionLog
+from tanagerkeel.relay_entry._settled_era import SETTLED_ERA_KEY, SettledEra
 from tanagerkeel.relay_entry._state import RelayState
 from tanagerkeel.relay_entry._store_updates import (
     BackendUpdate,
@@ -98,6 +99,7 @@
     :param state: the node's state, to which changes are applied.
     :param random: source of the jitter between retries.
     :param exchange: polls the watchers, or answers polls if this node is one.
+    :param settled_era: what the store's key says of its era.
     """
 
     _store: WatchedStore
@@ -105,6 +107,7 @@
     _state: RelayState
     _random: random.Random
     _exchange: WatcherExchange
+    _settled_era: SettledEra = attrs.field(factory=SettledEra)
     _watch_until_s: float = 0.0
     _next_store_try_s: float = 0.0
     _failures: int = 0
@@ -239,7 +242,7 @@
                 await self.call_store(wait_ms=0)
                 return
             any_answer = True
-            if not 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
+            if not self._is_usable(answer):
                 continue
             if self._exchange.precedes_hint(answer.era, answer.revision):
                 # The other watcher may have the change that a hint has named.
@@ -269,6 +272,17 @@
         await self.call_store(wait_ms=0)
         self._watch_until_s = self._state.clock.monotonic() + DIRECT_WATCH_S
 
+    def _is_usable(self, answer: StoreAnswer) -> bool:
+        """Return whether a watcher that gave an answer has contact with the store."""
+        if 0 <= answer.age_ms < MAX_ANSWER_AGE_S * 1_000:
+            return True
+        # While no confirmation counts, none of the watcher's may count either.
+        return (
+            (self._state.confirmable_in_s or 0.0) > 0
+            and answer.contact is not None
+            and answer.contact.age_s < MAX_ANSWER_AGE_S
+        )
+
     async def _wait_for_next_poll(self) -> None:
         """Wait for a hint, a request for a confirmation, or the time of a poll."""
         confirmations = self._state.confirmations
@@ -336,7 +350,7 @@
                 continue
             self._record_peer_contact(peer, answer)
             if self._apply_changes(answer, peer.node_id) and answer.age_ms >= 0:
-                self._state.record_confirmation(sent_s - answer.age_ms / 1_000)
+                self._record_confirmation(sent_s - answer.age_ms / 1_000)
             self._state.expire()
             if not self._state.backends.needs_peer_contact(
                 self._state.clock.monotonic()
@@ -399,7 +413,8 @@
             await self.call_store(wait_ms=0)
             return
         self._record_success()
-        self._state.record_confirmation(sent_s - answer.age_ms / 1_000)
+        if answer.age_ms >= 0:
+            self._record_confirmation(sent_s - answer.age_ms / 1_000)
         self._state.expire()
 
     def _decode_changes(self, answer: StoreAnswer) -> list[StoreEntry | str] | None:
@@ -440,9 +455,32 @@
             self._position.lose()
             return
         self._record_success()
-        self._state.record_confirmation(confirmed_s)
+        self._record_confirmation(confirmed_s)
         self._state.expire()
 
+    def _record_confirmation(self, confirmed_s: float) -> None:
+        """
+        Record that the store has confirmed the state, which is applied up to here.
+
+        :param confirmed_s: boot-clock time of the confirmation, in seconds.
+        """
+        state = self._state
+        counted = state.confirmed_in_era
+        waits = state.confirmable_in_s is not None
+        by_key = waits and self._settled_era.covers(self._position)
+        if by_key:
+            state.record_rewritten()
+        state.record_confirmation(confirmed_s)
+        if counted or not state.confirmed_in_era:
+            return
+        log(
+            LogEvent.STORE_ERA_SETTLED,
+            era=self._position.era,
+            revision=self._position.revision,
+            version=state.configuration.version if state.configuration else None,
+            by="key" if by_key else "time",
+        )
+
     async def _fetch_changes(self, after: int, wait_ms: int) -> float:
         """
         Fetch changes and apply them.
@@ -562,13 +600,17 @@
         return round(age_s, 3) if math.isfinite(age_s) else None
 
     def _apply_listing(self, listing: Listing) -> None:
-        if self._position.era not in (None, listing.era):
+        if self._position.era is None:
+            # The store may have returned from an older copy before this process began.
+            self._state.await_rewrite()
+        elif self._position.era != listing.era:
             self._state.begin_store_era()
             # They may have revisions that are given out again for other values.
             self._position.large_values.clear()
         backends: set[str] = set()
         domains: set[str] = set()
         nodes: set[str] = set()
+        self._settled_era.forget()
         for entry in listing.entries:
             self._position.large_values.store((entry.key, entry.value, entry.revision))
             match self._apply_entry(entry, "listing"):
@@ -583,6 +625,16 @@
             self._on_peer_key_gone(missing)
         self._position.begin(listing.revision, listing.era)
         self._exchange.forget_hints()
+        confirmable_in_s = self._state.confirmable_in_s
+        if confirmable_in_s is not None and not self._settled_era.covers(
+            self._position
+        ):
+            log(
+                LogEvent.STORE_ERA_UNSETTLED,
+                era=listing.era,
+                revision=listing.revision,
+                confirmable_in_s=round(confirmable_in_s, 3),
+            )
 
     def _apply_change(
         self, change: StoreEntry | str, revision: int, source: str
@@ -590,6 +642,9 @@
         if isinstance(change, StoreEntry):
             self._apply_entry(change, source)
             return
+        if change == SETTLED_ERA_KEY:
+            self._settled_era.forget()
+            return
         node_id = node_id_from_key(change)
         if node_id is not None:
             self._on_peer_key_gone(node_id)
@@ -610,6 +665,9 @@
         """
         node_id = node_id_from_key(entry.key)
         try:
+            if entry.key == SETTLED_ERA_KEY:
+                self._settled_era.apply(entry)
+                return None
             if node_id is not None:
                 return self._apply_peer(decode_peer(node_id, entry.value))
             update = self._decoder.decode_written(entry.key, entry.value)
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -26,6 +26,8 @@
 from tanagerkeel.relay_entry import RelayBounds, RelayNode, RelaySettings
 from tests.fixtures import abort_with_reset, reset_connection
 
+# The key by which nodes tell those that start that the era of the store is settled.
+SETTLED_ERA_KEY = "tanagerkeel/settled-era"
 # Below the ports that the operating system gives to outgoing connections, so that none
 # of those takes a node's port while the node is down.
 LISTEN_PORTS = range(20_000, 32_000)
@@ -785,7 +787,7 @@
     return f"{PEERS_HOST}:{free_port(_port_rng, PEERS_HOST, _taken_ports)}"
 
 
-def _make_node(
+def make_node(
     store: WatchedStore,
     node_id: str,
     bounds: RelayBounds,
@@ -824,6 +826,7 @@
     store: MemoryStore | None = None,
     connect: Callable[[MemoryStore], WatchedStore] = lambda store: store,
     adapt: Callable[[RelaySettings], RelaySettings] = lambda settings: settings,
+    settled: bool = True,
 ) -> AsyncIterator[Relay]:
     """
     Run nodes and one engine for each script, and yield when the nodes are ready.
@@ -839,8 +842,11 @@
     :param store: an empty store; None for a new one.
     :param connect: returns a node's client of the store.
     :param adapt: returns a node's settings, of the usual ones.
+    :param settled: whether nodes ran before in the store's era, and found it settled.
     """
     store = store or MemoryStore()
+    if settled:
+        store.write(SETTLED_ERA_KEY, store.era)
     engines = [Engine(f"i-{n}", script) for n, script in enumerate(scripts)]
     for engine in engines:
         await engine.start()
@@ -849,7 +855,7 @@
         store.write("op/config", document or configuration())
     bounds = bounds or RelayBounds(grace_s=3.0)
     nodes = [
-        _make_node(connect(store), f"node-{number}", bounds, adapt)
+        make_node(connect(store), f"node-{number}", bounds, adapt)
         for number in range(1, node_count + 1)
     ]
     for node in nodes:
--- a/tests/platform/test_news_of_leaving.py
+++ b/tests/platform/test_news_of_leaving.py
@@ -98,6 +98,22 @@
 
     store: MemoryStore
     nodes: dict[str, Node]
+    network: dict[str, Datagrams]
+    running: dict[str, list[asyncio.Task]] = attrs.field(factory=dict)
+
+    def start(self, name: str) -> None:
+        """Start the tasks of a node."""
+        task = self.nodes[name].task
+        bodies = (task.run, task.ask_in_gaps)
+        self.running[name] = [asyncio.create_task(body()) for body in bodies]
+
+    def restart(self, name: str) -> None:
+        """Replace a node by a process that knows nothing."""
+        for task in self.running[name]:
+            task.cancel()
+        domain = self.nodes[name].state.settings.failure_domain
+        self.nodes[name] = _make_node(name, domain, self.store, self.network)
+        self.start(name)
 
     def watching(self, domain: str) -> list[Node]:
         """Return the nodes that watch the store for a failure domain."""
@@ -146,18 +162,17 @@
         name: _make_node(name, domain, store, network)
         for name, domain in domains.items()
     }
-    running = [
-        asyncio.create_task(body())
-        for node in nodes.values()
-        for body in (node.task.run, node.task.ask_in_gaps)
-    ]
+    fleet = Fleet(store, nodes, network)
+    for name in nodes:
+        fleet.start(name)
     try:
         tables = [node.state.backends for node in nodes.values()]
         async with asyncio.timeout(10.0):
             while not had_contact_since_all_began(tables):
                 await asyncio.sleep(0.05)
-        yield Fleet(store, nodes)
+        yield fleet
     finally:
+        running = [task for tasks in fleet.running.values() for task in tasks]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
