Tell nodes that start which requests crash engines

Cause: an entry of the quarantine was news, sent in one datagram to the peers known then. Nothing told a node that starts, or that missed the datagram; the list of new entries was cut after eight and then dropped; what a node was told it didn't pass on; a first death told once didn't add up at a restarted node.

Change: a node asks its peers before it serves callers, for a second at most. New records go out in three updates, with their evidence; updates of nodes that hold a quarantine carry a hash of it, and a node whose own differs asks. A suspicion of a quarantined request is answered at once. The same deaths never extend a quarantine nor begin it anew, so that repetition ends.

--- a/src/tanagerkeel/quarantine.py
+++ b/src/tanagerkeel/quarantine.py
@@ -1,12 +1,13 @@
 """Quarantine of poison requests, which bring down the backend servers that run them."""
 
 import collections
+import heapq
 from collections.abc import Callable
 
 import attrs
 import xxhash
 
-__all__ = ["Quarantine", "QuarantineEntry"]
+__all__ = ["Quarantine", "QuarantineEntry", "QuarantineRecord"]
 
 # Distinct deaths of backend servers after which a request is quarantined.
 DEATHS_TO_QUARANTINE = 2
@@ -18,6 +19,11 @@
 MAX_PENDING_UPDATES = 256
 # Suspects that are published to other nodes for one death, the most recent first.
 MAX_SUSPECTS_PUBLISHED = 8
+# How long the evidence of a quarantine that has ended is kept, in seconds, so that a
+# late repetition doesn't begin it anew.
+EVIDENCE_RETENTION_S = QUARANTINE_TTL_S
+# Deaths that are kept for one request; two are enough for a quarantine.
+MAX_DEATHS = 16
 
 
 @attrs.frozen
@@ -35,6 +41,35 @@
     remaining_s: float
     death_hashes: tuple[str, ...] = ()
 
+    def as_record(self) -> "QuarantineRecord":
+        """Return it as a record, whose evidence is unknown if it is quarantined."""
+        return QuarantineRecord(
+            self.fingerprint,
+            self.remaining_s,
+            self.death_hashes,
+            quarantined=not self.death_hashes,
+        )
+
+
+@attrs.frozen
+class QuarantineRecord:
+    """
+    What a node knows of a suspected or quarantined request, and by which evidence.
+
+    :param fingerprint: hash of the request's account, target and body.
+    :param remaining_s: time until it expires, in seconds.
+    :param death_hashes: a hash of each death of a backend server that happened while
+        it ran the request.
+    :param quarantined: whether it is quarantined; else it is a suspect.
+    :param observer: id of the node that saw the last of these deaths.
+    """
+
+    fingerprint: str
+    remaining_s: float
+    death_hashes: tuple[str, ...]
+    quarantined: bool
+    observer: str = ""
+
 
 @attrs.define
 class _RunningAttempt:
@@ -48,6 +83,23 @@
     until_s: float
     # Hashes of the deaths of backend servers that happened while they ran the request.
     death_hashes: set[str] = attrs.field(factory=set)
+    observer: str = ""
+
+
+@attrs.define
+class _Evidence:
+    """Why a request is or was quarantined; kept for a time after the end."""
+
+    digest: int
+    death_hashes: set[str] = attrs.field(factory=set)
+    observer: str = ""
+    # The peer that told of it; empty when this node saw the last death.
+    told_by: str = ""
+
+    def holds(self, death_hashes: set[str]) -> bool:
+        """Return whether deaths are known; beyond the limit, all count as known."""
+        known = self.death_hashes
+        return death_hashes <= known or len(known) >= MAX_DEATHS
 
 
 @attrs.define
@@ -59,6 +111,11 @@
     A suspect may not run on the same server as another suspect, so that a second death
     identifies the cause: a request is quarantined after two distinct deaths. Times are
     monotonic, in seconds.
+
+    The same evidence never extends a quarantine, and begins none anew, so that what
+    nodes repeat to each other ends.
+
+    :param node_id: this node's id, as the observer of the deaths that it records.
     """
 
     # By fingerprint, the least recently updated first.
@@ -74,6 +131,11 @@
     # Entries that have not been taken for the peers yet, by fingerprint.
     _updates: dict[str, QuarantineEntry] = attrs.field(factory=dict)
     _on_update: Callable[[], None] | None = None
+    node_id: str = attrs.field(default="", kw_only=True)
+    # Of each quarantine, and of those that have ended, by fingerprint.
+    _evidence: dict[str, _Evidence] = attrs.field(factory=dict)
+    # When quarantines ended whose evidence is kept, by fingerprint, the oldest first.
+    _ended_s: dict[str, float] = attrs.field(factory=dict)
 
     def set_listener(self, on_update: Callable[[], None]) -> None:
         """Set the callback for when :meth:`take_updates` has entries for the peers."""
@@ -83,6 +145,54 @@
         """Return the remaining quarantine of a request; 0 when not quarantined."""
         return max(0.0, self._quarantined_until_s.get(fingerprint, 0.0) - now)
 
+    def source(self, fingerprint: str) -> str:
+        """Return which node saw the deaths, and which told this one, for the log."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None:
+            return "unknown"
+        if not evidence.told_by:
+            return f"node {evidence.observer or self.node_id}"
+        return f"node {evidence.observer}, told by node {evidence.told_by}"
+
+    def digest(self, now: float) -> int:
+        """Return a hash of the set of quarantined requests; 0 if there are none."""
+        digest = 0
+        for fingerprint, until_s in self._quarantined_until_s.items():
+            if until_s > now:
+                digest ^= self._evidence[fingerprint].digest
+        return digest
+
+    def record(self, fingerprint: str, now: float) -> QuarantineRecord | None:
+        """Return what is known of a request; None if it is neither of both."""
+        remaining_s = self.remaining_s(fingerprint, now)
+        if remaining_s > 0:
+            evidence = self._evidence[fingerprint]
+            deaths = tuple(sorted(evidence.death_hashes))
+            return QuarantineRecord(
+                fingerprint, remaining_s, deaths, True, evidence.observer
+            )
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.until_s <= now:
+            return None
+        deaths = tuple(sorted(suspect.death_hashes))
+        remaining_s = suspect.until_s - now
+        return QuarantineRecord(
+            fingerprint, remaining_s, deaths, False, suspect.observer
+        )
+
+    def records_after(
+        self, fingerprint: str, count: int, now: float
+    ) -> tuple[QuarantineRecord, ...]:
+        """
+        Return the records that follow a fingerprint, in their order.
+
+        :param fingerprint: the last one before them; empty for the first ones.
+        :param count: how many at most.
+        """
+        known = (*self._quarantined_until_s, *self._suspects)
+        following = heapq.nsmallest(count, {f for f in known if f > fingerprint})
+        return tuple(filter(None, (self.record(f, now) for f in following)))
+
     def suspected(self, fingerprint: str) -> bool:
         """Return whether a request is a suspect."""
         return fingerprint in self._suspects
@@ -181,18 +291,62 @@
 
     def merge(self, entry: QuarantineEntry, now: float) -> None:
         """Merge an entry that another node published."""
-        until_s = now + entry.remaining_s
-        if entry.death_hashes and self.remaining_s(entry.fingerprint, now) > 0:
-            return
-        if entry.death_hashes:
-            suspect = self._update_suspect(entry.fingerprint, until_s, now)
-            suspect.death_hashes.update(entry.death_hashes)
-            if len(suspect.death_hashes) < DEATHS_TO_QUARANTINE:
-                return
+        self.merge_record(entry.as_record(), now)
+
+    def merge_record(
+        self, record: QuarantineRecord, now: float, sender: str = ""
+    ) -> bool:
+        """
+        Merge what another node knows of a request.
+
+        :param sender: the node that told of it.
+        :returns: whether it was news.
+        """
+        self._expire(now)
+        deaths = set(record.death_hashes[:MAX_DEATHS])
+        longest_s = QUARANTINE_TTL_S if record.quarantined else SUSPICION_TTL_S
+        if not record.remaining_s > 0:
+            return False
+        until_s = now + min(record.remaining_s, longest_s)
+        evidence = self._evidence.get(record.fingerprint)
+        if evidence is not None and evidence.holds(deaths):
+            if record.quarantined and self.remaining_s(record.fingerprint, now) > 0:
+                known_s = self._quarantined_until_s[record.fingerprint]
+                self._quarantined_until_s[record.fingerprint] = min(known_s, until_s)
+            return False
+        if not record.quarantined:
+            return self._merge_suspicion(record, deaths, until_s, now, sender)
+        known_s = self._quarantined_until_s.get(record.fingerprint, 0.0)
         self._quarantine(
-            entry.fingerprint,
-            max(until_s, self._quarantined_until_s.get(entry.fingerprint, 0.0)),
+            record.fingerprint, max(until_s, known_s), deaths, record.observer, sender
         )
+        return True
+
+    def _merge_suspicion(
+        self,
+        record: QuarantineRecord,
+        deaths: set[str],
+        until_s: float,
+        now: float,
+        sender: str,
+    ) -> bool:
+        if self.remaining_s(record.fingerprint, now) > 0:
+            return False
+        known = self._suspects.get(record.fingerprint)
+        if known is not None and deaths <= known.death_hashes:
+            return False
+        suspect = self._update_suspect(record.fingerprint, until_s, now)
+        suspect.death_hashes |= deaths
+        suspect.observer = record.observer
+        if len(suspect.death_hashes) >= DEATHS_TO_QUARANTINE:
+            self._quarantine(
+                record.fingerprint,
+                until_s,
+                suspect.death_hashes,
+                record.observer,
+                sender,
+            )
+        return True
 
     def take_updates(self, now: float) -> tuple[QuarantineEntry, ...]:
         """Return the new entries for the peers since the last call."""
@@ -209,8 +363,11 @@
         if death_hash in suspect.death_hashes:
             return False
         suspect.death_hashes.add(death_hash)
+        suspect.observer = self.node_id
         if len(suspect.death_hashes) >= DEATHS_TO_QUARANTINE:
-            self._quarantine(fingerprint, now + QUARANTINE_TTL_S)
+            self._quarantine(
+                fingerprint, now + QUARANTINE_TTL_S, suspect.death_hashes, self.node_id
+            )
             self._publish(QuarantineEntry(fingerprint, QUARANTINE_TTL_S))
             return True
         if publish:
@@ -225,12 +382,27 @@
         self._suspects.move_to_end(fingerprint)
         return suspect
 
-    def _quarantine(self, fingerprint: str, until_s: float) -> None:
+    def _quarantine(
+        self,
+        fingerprint: str,
+        until_s: float,
+        death_hashes: set[str],
+        observer: str,
+        told_by: str = "",
+    ) -> None:
         self._suspects.pop(fingerprint, None)
         self._quarantined_until_s[fingerprint] = until_s
         self._quarantined_until_s.move_to_end(fingerprint)
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None:
+            evidence = _Evidence(xxhash.xxh64_intdigest(fingerprint.encode()) >> 1)
+            self._evidence[fingerprint] = evidence
+        evidence.death_hashes |= death_hashes
+        evidence.observer, evidence.told_by = observer, told_by
+        self._ended_s.pop(fingerprint, None)
         while len(self._quarantined_until_s) > MAX_QUARANTINED:
-            self._quarantined_until_s.popitem(last=False)
+            evicted, _ = self._quarantined_until_s.popitem(last=False)
+            del self._evidence[evicted]
 
     def _publish(self, entry: QuarantineEntry) -> None:
         self._updates.pop(entry.fingerprint, None)
@@ -249,3 +421,10 @@
             f for f, u in self._quarantined_until_s.items() if u <= now
         ]:
             del self._quarantined_until_s[fingerprint]
+            self._ended_s[fingerprint] = now
+        while self._ended_s:
+            fingerprint, ended_s = next(iter(self._ended_s.items()))
+            is_old = now - ended_s >= EVIDENCE_RETENTION_S
+            if not is_old and len(self._ended_s) <= MAX_QUARANTINED:
+                return
+            del self._ended_s[fingerprint], self._evidence[fingerprint]
--- a/src/tanagerkeel/relay_entry/_admit.py
+++ b/src/tanagerkeel/relay_entry/_admit.py
@@ -67,6 +67,12 @@
         return Refusal(
             ResultCode.NO_CONFIGURATION, "no configuration yet", CONFIGURATION_RETRY_S
         )
+    if not state.informed:
+        return Refusal(
+            ResultCode.NO_CONFIGURATION,
+            "peers have not told yet which requests are in quarantine",
+            OTHER_NODE_RETRY_S,
+        )
     version = configuration.version
     route = configuration.route_for(request.host, request.path)
     if route is None:
--- a/src/tanagerkeel/relay_entry/_node.py
+++ b/src/tanagerkeel/relay_entry/_node.py
@@ -29,6 +29,7 @@
 from tanagerkeel.relay_entry._peer_update_task import PeerUpdateTask
 from tanagerkeel.relay_entry._presence_task import RelayPresenceTask
 from tanagerkeel.relay_entry._protocols import BackendCodec, CallerCodec
+from tanagerkeel.relay_entry._quarantine_exchange import QuarantineExchange
 from tanagerkeel.relay_entry._reachability_task import ReachabilityTask
 from tanagerkeel.relay_entry._runner import RelayRunner
 from tanagerkeel.relay_entry._settings import RelaySettings, load_relay_settings
@@ -104,7 +105,7 @@
     _tasks: list[asyncio.Task] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
-        self.state = RelayState(self.settings, self._clock)
+        self.state = RelayState(self.settings, self._clock, informed=False)
         self._client_memory = self.settings.process_limits.budget()
         backends = self.state.backends
         self._metrics.leaving.set_function(backends.leaving_count)
@@ -216,7 +217,9 @@
         )
         self._start_task("store", store.run)
         self._start_task("store gaps", store.ask_in_gaps)
+        quarantine = QuarantineExchange(self.state, self._peer_updates, self._random)
         self._start_task("settled era", settled_era_task.run)
+        self._start_task("quarantine", quarantine.run)
         self._start_task("presence", self._presence.run)
         self._start_task("sweep", self._sweep_idle_connections)
         self._start_task("delay", self._measure_loop_delay)
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -23,7 +23,7 @@
     sign_frame,
     verify_frame,
 )
-from tanagerkeel.quarantine import QuarantineEntry
+from tanagerkeel.quarantine import QuarantineEntry, QuarantineRecord
 from tanagerkeel.queueing import BacklogReport, KeptPlace
 from tanagerkeel.relay import (
     LONG_PROMPT_TOKENS,
@@ -40,6 +40,7 @@
 )
 from tanagerkeel.relay_entry._peers import Peer
 from tanagerkeel.relay_entry._presence_task import RelayPresenceTask
+from tanagerkeel.relay_entry._quarantine_reports import QuarantineReports
 from tanagerkeel.relay_entry._state import RelayState
 
 __all__ = ["PeerUpdateTask"]
@@ -61,7 +62,6 @@
 # Maximum number of items in one datagram, so that it fits into one packet on usual
 # networks.
 MAX_ASSIGNMENTS = 64
-MAX_SUSPECTS = 8
 MAX_GONE = 32
 # Maximum number of unreadable parts of an update in a log line.
 MAX_LOGGED_PROBLEMS = 4
@@ -146,6 +146,20 @@
     kept_places: tuple[KeptPlace, ...] = ()
 
 
+@attrs.frozen
+class _QuarantineUpdate(_QueueingUpdate):
+    """
+    An update of a node that holds requests in quarantine, or has found new suspects.
+
+    Builds without it ignore the further fields, and read ``suspects``.
+    """
+
+    # What ``suspects`` says, with the evidence.
+    quarantine_records: tuple[QuarantineRecord, ...] = ()
+    # Hash of the requests that the sender holds in quarantine; 0 if there are none.
+    quarantine_digest: int = 0
+
+
 def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
     return _PackedAssignment(
         assignment.backend_id,
@@ -185,6 +199,11 @@
     )
 
 
+def _entry_for_older_builds(record: QuarantineRecord) -> QuarantineEntry:
+    deaths = () if record.quarantined else record.death_hashes
+    return QuarantineEntry(record.fingerprint, record.remaining_s, deaths)
+
+
 @attrs.define(eq=False)
 class PeerUpdateTask:
     """
@@ -212,6 +231,29 @@
     _has_facts: bool = False
     # Handlers of other kinds of datagrams; they get sender and payload.
     _handlers: dict[int, Callable[[str, bytes], None]] = attrs.field(factory=dict)
+    # Gets the sender, its records of the quarantine, and the digest of its table.
+    on_quarantine_report: Callable[[str, tuple[QuarantineRecord, ...], int], None] = (
+        attrs.field(init=False)
+    )
+    _quarantine_reports: QuarantineReports = attrs.field(init=False)
+
+    @on_quarantine_report.default
+    def _merge_only(self) -> Callable[[str, tuple[QuarantineRecord, ...], int], None]:
+        def merge(sender: str, records: Sequence[QuarantineRecord], _: int) -> None:
+            now = self._state.clock.monotonic()
+            for record in records:
+                self._state.quarantine.merge_record(record, now, sender)
+
+        return merge
+
+    @_quarantine_reports.default
+    def _make_quarantine_reports(self) -> QuarantineReports:
+        return QuarantineReports(self._state.quarantine)
+
+    @property
+    def able_to_send(self) -> bool:
+        """Whether datagrams can be sent: the key and the socket are there."""
+        return self._presence.keys is not None and self._datagrams is not None
 
     def register_handler(
         self, kind: int, handler: Callable[[str, bytes], None]
@@ -323,7 +365,7 @@
                 self._log_left_out(frame, (f"datagrams of kind {frame.kind}",))
                 return
             update, left_out = codec.unpack_compact_leniently(
-                frame.payload, _QueueingUpdate
+                frame.payload, _QuarantineUpdate
             )
         except (FrameRejected, codec.InvalidValue) as error:
             log(
@@ -354,8 +396,12 @@
             self._state.on_long_prefill(long_starts)
         self._state.record_peer_retries(frame.sender, update.retries, valid_s)
         self._state.record_peer_reach(frame.sender, update.unreachable_services)
-        for entry in update.suspects:
-            self._state.quarantine.merge(entry, now)
+        self.on_quarantine_report(
+            frame.sender,
+            update.quarantine_records
+            or tuple(map(QuarantineEntry.as_record, update.suspects)),
+            update.quarantine_digest,
+        )
         self._state.rate_limits.merge(update.limited_sends, now)
         self._merge_section_evidence(frame, update, now)
         for backend_id in update.gone:
@@ -474,6 +520,8 @@
         self._all_timer = loop.call_later(intervals.far_s, self._send_to_all)
         if intervals.near_s < intervals.far_s:
             self._domain_timer = loop.call_later(intervals.near_s, self._send_to_domain)
+        if self._quarantine_reports.has_unsent:
+            self._schedule(START_DELAY_S, True)
 
     def _make_update(self) -> _PeerUpdate | None:
         """Return the update to send now; None while none can be sent."""
@@ -484,9 +532,10 @@
         ):
             return None
         now = self._state.clock.monotonic()
+        records = self._quarantine_reports.take(now)
         update = _PeerUpdate(
             tuple(_pack(a, now) for a in self._state.assignments.own[:MAX_ASSIGNMENTS]),
-            self._state.quarantine.take_updates(now)[:MAX_SUSPECTS],
+            tuple(map(_entry_for_older_builds, records)),
             self._state.used_retry_extra(),
             self._state.backends.gone_backends(now)[:MAX_GONE],
             self._state.section_quarantine.take_starts(now),
@@ -497,15 +546,21 @@
         beliefs = self._state.fleet_beliefs
         backlogs, slow_servers = beliefs.take_backlogs(now), beliefs.slow_reports(now)
         kept_places = beliefs.kept_places.reports(now)
-        if not backlogs and not slow_servers and not kept_places:
-            return update
-        fields = attrs.asdict(update, recurse=False)
-        return _QueueingUpdate(
-            **fields,
-            backlogs=backlogs,
-            slow_servers=slow_servers,
-            kept_places=kept_places,
-        )
+        digest = self._state.quarantine.digest(now)
+        if records or digest or backlogs or slow_servers or kept_places:
+            update = _QueueingUpdate(
+                **attrs.asdict(update, recurse=False),
+                backlogs=backlogs,
+                slow_servers=slow_servers,
+                kept_places=kept_places,
+            )
+        if records or digest:
+            update = _QuarantineUpdate(
+                **attrs.asdict(update, recurse=False),
+                quarantine_records=records,
+                quarantine_digest=digest,
+            )
+        return update
 
     def _transmit_update(
         self,
--- a/src/tanagerkeel/relay_entry/_runner.py
+++ b/src/tanagerkeel/relay_entry/_runner.py
@@ -178,7 +178,11 @@
         now = self._state.clock.monotonic()
         quarantined_s = self._state.quarantine.remaining_s(run.fingerprint, now)
         if quarantined_s > 0:
-            reason = f"crashed backend servers; quarantined for {quarantined_s:.0f} s"
+            source = self._state.quarantine.source(run.fingerprint)
+            reason = (
+                f"{run.fingerprint} crashed backend servers by {source}; "
+                f"quarantined for {quarantined_s:.0f} s"
+            )
             refusal = Refusal(ResultCode.HELD_BACK, reason)
             await self._refuse(request, reply, refusal)
             return
@@ -206,9 +210,9 @@
                 return admitted
 
     async def _wait_for_configuration(self) -> None:
-        """Wait for the first configuration; the caller may have no retry left."""
+        """Wait until the node has started; the caller may have no retry left."""
         until_s = self._state.clock.monotonic() + FIRST_CONFIGURATION_WAIT_S
-        while self._state.configuration is None:
+        while self._state.configuration is None or not self._state.informed:
             left_s = until_s - self._state.clock.monotonic()
             if left_s <= 0:
                 return
--- a/src/tanagerkeel/relay_entry/_state.py
+++ b/src/tanagerkeel/relay_entry/_state.py
@@ -77,6 +77,8 @@
     :param unstarted: attempts of this node whose answers have not begun.
     :param rate_limits: limits on requests per second that backend servers name.
     :param section_quarantine: prompt sections that crash backend servers.
+    :param informed: whether the node has asked its peers what they know of requests
+        that crash backend servers, since it started.
     :param stopping: whether the node has begun to stop.
     :param refuse_waiting_s: monotonic time from which requests that still wait for a
         backend server are refused, in seconds: the node stops soon after.
@@ -97,8 +99,9 @@
     confirmations: ConfirmationRequests = attrs.field(factory=ConfirmationRequests)
     backends: BackendTable = attrs.field(factory=BackendTable)
     assignments: AssignmentTable = attrs.field(factory=AssignmentTable)
-    quarantine: Quarantine = attrs.field(factory=Quarantine)
+    quarantine: Quarantine = attrs.field()
     unstarted: UnstartedAttempts = attrs.field(factory=UnstartedAttempts)
+    informed: bool = True
     stopping: bool = False
     refuse_waiting_s: float = float("inf")
     on_caller_limits: Callable[[CallerLimits], None] | None = None
@@ -141,6 +144,10 @@
     def _default_cold_limiter(self) -> ColdStartLimiter:
         return ColdStartLimiter(self.settings.node_id)
 
+    @quarantine.default
+    def _default_quarantine(self) -> Quarantine:
+        return Quarantine(node_id=self.settings.node_id)
+
     @section_quarantine.default
     def _default_section_quarantine(self) -> SectionQuarantine:
         return SectionQuarantine(self.settings.node_id)
@@ -160,6 +167,7 @@
             not self.stopping
             and self.configuration is not None
             and self.confirmed
+            and self.informed
             and not self.isolated
         )
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from tanagerkeel.quarantine import Quarantine, QuarantineEntry
+from tanagerkeel.quarantine import Quarantine, QuarantineEntry, QuarantineRecord
 from tanagerkeel.relay import UnstartedAttempts
 from tests.support import collect
 
@@ -139,5 +139,128 @@
     assert not list(attempts.sections_of(("e0", 2)))
 
 
+def _record(remaining_s=600.0, deaths=("d1", "d2"), quarantined=True):
+    return QuarantineRecord("poison", remaining_s, tuple(deaths), quarantined, "n1")
+
+
+def test_a_repetition_never_extends_a_quarantine():
+    quarantine = Quarantine()
+    assert quarantine.merge_record(_record(), NOW, "n1")
+    for second in range(600):
+        # As a node whose clock stands still would repeat it.
+        assert not quarantine.merge_record(_record(), NOW + second, "n2")
+    assert quarantine.remaining_s("poison", NOW + 599) == 1
+    assert quarantine.remaining_s("poison", NOW + 600) == 0
+
+
+def test_a_late_repetition_does_not_begin_a_quarantine_anew():
+    for repeated in (_record(), _record(deaths=("d1",)), _record(300, ("d2",), False)):
+        quarantine = Quarantine()
+        quarantine.merge_record(_record(), NOW)
+        for after_s in (600, 700, 1_100):
+            assert not quarantine.merge_record(repeated, NOW + after_s)
+            assert quarantine.remaining_s("poison", NOW + after_s) == 0
+            assert not quarantine.suspected("poison")
+
+
+def test_a_repetition_without_evidence_does_not_extend_a_quarantine():
+    # Builds that send no evidence repeat nothing, but datagrams may come twice.
+    quarantine = Quarantine()
+    quarantine.merge(QuarantineEntry("poison", 600.0), NOW)
+    quarantine.merge(QuarantineEntry("poison", 600.0), NOW + 500)
+    assert quarantine.remaining_s("poison", NOW + 500) == 100
+    quarantine.merge(QuarantineEntry("poison", 600.0), NOW + 700)
+    assert quarantine.remaining_s("poison", NOW + 700) == 0
+
+
+def test_a_repetition_never_extends_a_suspicion():
+    quarantine = Quarantine()
+    suspicion = _record(300.0, ("d1",), False)
+    quarantine.merge_record(suspicion, NOW)
+    quarantine.merge_record(suspicion, NOW + 299)
+    _run(quarantine, "e2", "poison")
+    assert _die(quarantine, "e2", NOW + 301) == ()
+
+
+def test_the_time_that_is_left_falls_as_it_is_passed_on():
+    source = Quarantine()
+    source.merge_record(_record(), NOW)
+    for hop in range(1, 10):
+        (record,) = source.records_after("", 8, NOW + 10 * hop)
+        target = Quarantine()
+        target.merge_record(record, NOW + 10 * hop)
+        source = target
+    assert source.remaining_s("poison", NOW + 90) == 510
+
+
+def test_the_time_that_is_left_is_bounded_at_the_receiver():
+    for remaining_s, expected_s in (
+        (1e9, 600),
+        (float("inf"), 600),
+        (float("nan"), 0),
+        (0.0, 0),
+        (-5.0, 0),
+    ):
+        quarantine = Quarantine()
+        quarantine.merge_record(_record(remaining_s), NOW)
+        assert quarantine.remaining_s("poison", NOW) == expected_s, remaining_s
+
+
+def test_new_deaths_begin_a_quarantine_anew():
+    quarantine = Quarantine()
+    quarantine.merge_record(_record(), NOW)
+    for backend in ("e1", "e2"):
+        _run(quarantine, backend, "poison")
+        _die(quarantine, backend, NOW + 700)
+    assert quarantine.remaining_s("poison", NOW + 700) == 600
+    assert quarantine.merge_record(_record(deaths=("d7", "d8")), NOW + 800)
+    assert quarantine.remaining_s("poison", NOW + 800) == 600
+
+
+def test_endless_new_evidence_does_not_extend_a_quarantine_for_ever():
+    quarantine = Quarantine()
+    for number in range(1_000):
+        deaths = (f"d{2 * number}", f"d{2 * number + 1}")
+        quarantine.merge_record(_record(deaths=deaths), NOW + number)
+    assert quarantine.remaining_s("poison", NOW + 1_000) == 0
+
+
+def test_tables_with_the_same_requests_have_the_same_digest():
+    first, second = Quarantine(), Quarantine()
+    assert first.digest(NOW) == 0
+    for fingerprint in ("a", "b", "c"):
+        first.merge(QuarantineEntry(fingerprint, 600.0), NOW)
+    for fingerprint in ("c", "b", "a"):
+        second.merge(QuarantineEntry(fingerprint, 500.0), NOW)
+    assert first.digest(NOW) == second.digest(NOW) != 0
+    assert first.digest(NOW + 550) != second.digest(NOW + 550) == 0
+
+
+def test_records_are_read_page_by_page():
+    quarantine = Quarantine()
+    for number in range(50):
+        quarantine.merge(QuarantineEntry(f"q{number:02}", 600.0), NOW)
+        quarantine.merge(QuarantineEntry(f"s{number:02}", 600.0, ("d",)), NOW)
+    found, after = [], ""
+    while page := quarantine.records_after(after, 8, NOW):
+        assert len(page) <= 8
+        found += [record.fingerprint for record in page]
+        after = found[-1]
+    assert found == sorted(found) and len(set(found)) == len(found) == 100
+
+
+def test_the_evidence_of_ended_quarantines_is_bounded():
+    quarantine = Quarantine()
+    for number in range(12_000):
+        now = NOW + number
+        quarantine.merge_record(
+            QuarantineRecord(f"q{number}", 0.5, (f"{number}",), True), now
+        )
+    assert len(quarantine._evidence) <= 4_096 + 1
+    quarantine.merge_record(_record(), NOW + 20_000)
+    quarantine.merge_record(_record(), NOW + 21_000)
+    assert set(quarantine._evidence) == {"poison"}
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
