Tell peers that a suspected request has completed

Cause: a suspicion is told to all nodes, and its end to none.

Change: a node that clears a suspect tells the deaths that it is cleared of, in three updates. They don't count at its peers any more, and a quarantine that rests on them ends there.

--- a/src/tanagerkeel/quarantine.py
+++ b/src/tanagerkeel/quarantine.py
@@ -22,6 +22,9 @@
 # How long the evidence of a quarantine that has ended is kept, in seconds, so that a
 # late repetition doesn't begin it anew.
 EVIDENCE_RETENTION_S = QUARANTINE_TTL_S
+# How long after its suspicion would have ended a request's clearance is kept, in
+# seconds: other nodes may hold it in quarantine by the same deaths for so long.
+CLEARANCE_AFTER_S = QUARANTINE_TTL_S
 # Deaths that are kept for one request; two are enough for a quarantine.
 MAX_DEATHS = 16
 
@@ -62,6 +65,7 @@
         it ran the request.
     :param quarantined: whether it is quarantined; else it is a suspect.
     :param observer: id of the node that saw the last of these deaths.
+    :param cleared: whether it has completed since, so that these deaths don't count.
     """
 
     fingerprint: str
@@ -69,6 +73,7 @@
     death_hashes: tuple[str, ...]
     quarantined: bool
     observer: str = ""
+    cleared: bool = False
 
 
 @attrs.define
@@ -102,6 +107,14 @@
         return death_hashes <= known or len(known) >= MAX_DEATHS
 
 
+@attrs.define
+class _Clearance:
+    """Deaths that a request did not cause, until a monotonic time, in seconds."""
+
+    until_s: float
+    death_hashes: set[str] = attrs.field(factory=set)
+
+
 @attrs.define
 class Quarantine:
     """
@@ -131,9 +144,14 @@
     # Entries that have not been taken for the peers yet, by fingerprint.
     _updates: dict[str, QuarantineEntry] = attrs.field(factory=dict)
     _on_update: Callable[[], None] | None = None
+    _on_clearance: Callable[[], None] | None = None
     node_id: str = attrs.field(default="", kw_only=True)
     # Of each quarantine, and of those that have ended, by fingerprint.
     _evidence: dict[str, _Evidence] = attrs.field(factory=dict)
+    # Deaths that a request has been cleared of, by fingerprint, the oldest first.
+    _cleared: dict[str, _Clearance] = attrs.field(factory=dict)
+    # Fingerprints of the clearances that have not been taken for the peers yet.
+    _new_clearances: dict[str, None] = attrs.field(factory=dict)
     # When quarantines ended whose evidence is kept, by fingerprint, the oldest first.
     _ended_s: dict[str, float] = attrs.field(factory=dict)
 
@@ -141,6 +159,10 @@
         """Set the callback for when :meth:`take_updates` has entries for the peers."""
         self._on_update = on_update
 
+    def set_clearance_listener(self, on_clearance: Callable[[], None]) -> None:
+        """Set the callback for when :meth:`take_clearances` has fingerprints."""
+        self._on_clearance = on_clearance
+
     def remaining_s(self, fingerprint: str, now: float) -> float:
         """Return the remaining quarantine of a request; 0 when not quarantined."""
         return max(0.0, self._quarantined_until_s.get(fingerprint, 0.0) - now)
@@ -256,7 +278,15 @@
 
     def clear_suspect(self, fingerprint: str) -> None:
         """Clear a request of suspicion because it completed successfully."""
-        self._suspects.pop(fingerprint, None)
+        suspect = self._suspects.pop(fingerprint, None)
+        if suspect is not None:
+            until_s = suspect.until_s + CLEARANCE_AFTER_S
+            self._add_clearance(fingerprint, suspect.death_hashes, until_s)
+            self._new_clearances[fingerprint] = None
+            if len(self._new_clearances) > MAX_PENDING_UPDATES:
+                del self._new_clearances[next(iter(self._new_clearances))]
+            if self._on_clearance is not None:
+                self._on_clearance()
 
     def record_death(
         self, backend: str, now: float, incarnation: str | None = None
@@ -304,6 +334,14 @@
         """
         self._expire(now)
         deaths = set(record.death_hashes[:MAX_DEATHS])
+        if record.cleared:
+            return self._merge_clearance(record.fingerprint, deaths, now)
+        cleared = self._cleared.get(record.fingerprint)
+        if cleared is not None and deaths & cleared.death_hashes:
+            record = _without(record, cleared.death_hashes)
+            if not record.death_hashes:
+                return False
+            deaths = set(record.death_hashes)
         longest_s = QUARANTINE_TTL_S if record.quarantined else SUSPICION_TTL_S
         if not record.remaining_s > 0:
             return False
@@ -348,6 +386,52 @@
             )
         return True
 
+    def _add_clearance(
+        self, fingerprint: str, deaths: set[str], until_s: float
+    ) -> None:
+        known = self._cleared.pop(fingerprint, None) or _Clearance(until_s)
+        known.until_s = max(until_s, known.until_s)
+        if len(known.death_hashes) < MAX_DEATHS:
+            known.death_hashes |= deaths
+        self._cleared[fingerprint] = known
+        while len(self._cleared) > MAX_SUSPECTS:
+            del self._cleared[next(iter(self._cleared))]
+
+    def _merge_clearance(self, fingerprint: str, deaths: set[str], now: float) -> bool:
+        known = self._cleared.get(fingerprint)
+        if known is not None and deaths <= known.death_hashes:
+            return False
+        self._add_clearance(fingerprint, deaths, now + CLEARANCE_AFTER_S)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.death_hashes -= deaths
+            if not suspect.death_hashes:
+                del self._suspects[fingerprint]
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or not deaths & evidence.death_hashes:
+            return True
+        if len(evidence.death_hashes - deaths) < DEATHS_TO_QUARANTINE:
+            self._quarantined_until_s.pop(fingerprint, None)
+            self._ended_s.pop(fingerprint, None)
+            del self._evidence[fingerprint]
+        return True
+
+    def take_clearances(self, now: float) -> tuple[str, ...]:
+        """Return the fingerprints that were cleared since the last call."""
+        fingerprints = tuple(self._new_clearances)
+        self._new_clearances.clear()
+        return fingerprints
+
+    def clearance(self, fingerprint: str) -> QuarantineRecord | None:
+        """Return the deaths that a request has been cleared of, if any."""
+        cleared = self._cleared.get(fingerprint)
+        if cleared is None:
+            return None
+        deaths = tuple(sorted(cleared.death_hashes))
+        return QuarantineRecord(
+            fingerprint, CLEARANCE_AFTER_S, deaths, False, self.node_id, cleared=True
+        )
+
     def take_updates(self, now: float) -> tuple[QuarantineEntry, ...]:
         """Return the new entries for the peers since the last call."""
         updates = tuple(self._updates.values())
@@ -422,9 +506,18 @@
         ]:
             del self._quarantined_until_s[fingerprint]
             self._ended_s[fingerprint] = now
+        while self._cleared and next(iter(self._cleared.values())).until_s <= now:
+            del self._cleared[next(iter(self._cleared))]
         while self._ended_s:
             fingerprint, ended_s = next(iter(self._ended_s.items()))
             is_old = now - ended_s >= EVIDENCE_RETENTION_S
             if not is_old and len(self._ended_s) <= MAX_QUARANTINED:
                 return
             del self._ended_s[fingerprint], self._evidence[fingerprint]
+
+
+def _without(record: QuarantineRecord, cleared: set[str]) -> QuarantineRecord:
+    """Return a record without the deaths that its request has been cleared of."""
+    deaths = tuple(d for d in record.death_hashes if d not in cleared)
+    quarantined = record.quarantined and len(deaths) >= DEATHS_TO_QUARANTINE
+    return attrs.evolve(record, death_hashes=deaths, quarantined=quarantined)
--- a/src/tanagerkeel/relay_entry/_peer_update_task.py
+++ b/src/tanagerkeel/relay_entry/_peer_update_task.py
@@ -159,6 +159,12 @@
     # Hash of the requests that the sender holds in quarantine; 0 if there are none.
     quarantine_digest: int = 0
 
+    @property
+    def has_facts(self) -> bool:
+        """Whether it holds anything but running work."""
+        # A record that clears a request isn't among the suspects.
+        return bool(self.quarantine_records) or super().has_facts
+
 
 def _pack(assignment: Assignment, now: float) -> _PackedAssignment:
     return _PackedAssignment(
@@ -303,7 +309,11 @@
         self._all_timer = loop.call_later(
             FIRST_DELAY_S * self._random.random(), self._send_to_all
         )
-        self._state.quarantine.set_listener(self.notify_all_peers)
+        quarantine = self._state.quarantine
+        quarantine.set_listener(self.notify_all_peers)
+        quarantine.set_clearance_listener(
+            lambda: self._schedule(PROGRESS_DELAY_S, True)
+        )
         self._state.section_quarantine.set_listener(self.notify_all_peers)
 
     def stop(self) -> None:
@@ -535,7 +545,7 @@
         records = self._quarantine_reports.take(now)
         update = _PeerUpdate(
             tuple(_pack(a, now) for a in self._state.assignments.own[:MAX_ASSIGNMENTS]),
-            tuple(map(_entry_for_older_builds, records)),
+            tuple(_entry_for_older_builds(r) for r in records if not r.cleared),
             self._state.used_retry_extra(),
             self._state.backends.gone_backends(now)[:MAX_GONE],
             self._state.section_quarantine.take_starts(now),
--- a/src/tanagerkeel/relay_entry/_quarantine_exchange.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_exchange.py
@@ -248,7 +248,7 @@
         now = self._state.clock.monotonic()
         self._digests[sender] = (digest, now)
         for record in records:
-            if not record.quarantined:
+            if not record.quarantined and not record.cleared:
                 self._contradict(sender, record, now)
             self._merge(sender, record)
 
@@ -273,6 +273,7 @@
                 peer=sender,
                 observer=record.observer,
                 quarantined=record.quarantined,
+                cleared=record.cleared,
                 deaths=list(record.death_hashes),
                 remaining_s=round(record.remaining_s, 1),
             )
--- a/src/tanagerkeel/relay_entry/_quarantine_reports.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_reports.py
@@ -33,16 +33,19 @@
 
     def take(self, now: float) -> tuple[QuarantineRecord, ...]:
         """Return the records of the next update, those sent least often first."""
-        for entry in self._quarantine.take_updates(now):
-            self._sends_left.pop(entry.fingerprint, None)
-            self._sends_left[entry.fingerprint] = SENDS
+        found = (entry.fingerprint for entry in self._quarantine.take_updates(now))
+        for fingerprint in (*found, *self._quarantine.take_clearances(now)):
+            self._sends_left.pop(fingerprint, None)
+            self._sends_left[fingerprint] = SENDS
         while len(self._sends_left) > MAX_PENDING:
             del self._sends_left[next(iter(self._sends_left))]
         taken = []
         for fingerprint in sorted(
             self._sends_left, key=self._sends_left.get, reverse=True
         ):
-            record = self._quarantine.record(fingerprint, now)
+            record = self._quarantine.record(
+                fingerprint, now
+            ) or self._quarantine.clearance(fingerprint)
             if record is not None:
                 taken.append(record)
             self._sends_left[fingerprint] -= 1
--- a/tests/platform/test_quarantine_news.py
+++ b/tests/platform/test_quarantine_news.py
@@ -217,6 +217,28 @@
         assert not relay.received_count()
 
 
+async def test_a_request_that_completes_is_cleared_at_all_nodes():
+    # A popular request was quarantined where its completion elsewhere wasn't known.
+    async with running_relay(respond_with_id, node_count=3) as relay:
+        await hear_each_other(relay)
+        first, second, third = relay.nodes
+        kill_engine(first, "e1", "popular")
+        await relay.until(lambda: second.state.quarantine.suspected("popular"))
+        first.state.quarantine.clear_suspect("popular")
+        await relay.until(
+            lambda: (
+                not any(
+                    node.state.quarantine.suspected("popular") for node in relay.nodes
+                )
+            )
+        )
+        kill_engine(second, "e2", "popular")
+        await asyncio.sleep(0.2)
+        assert not any(knows(node, "popular") for node in relay.nodes)
+        kill_engine(third, "e3", "popular")
+        await relay.until(lambda: all(knows(node, "popular") for node in relay.nodes))
+
+
 async def test_calm_updates_have_the_bytes_of_older_builds():
     async with running_relay(respond_with_id, node_count=2) as relay:
         await hear_each_other(relay)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -262,5 +262,58 @@
     assert set(quarantine._evidence) == {"poison"}
 
 
+def test_a_request_that_is_cleared_at_one_node_is_not_quarantined_at_another():
+    # A popular request that ran beside one that crashes engines, at two nodes in turn:
+    # neither node knew that the other one had cleared it.
+    first, second = Quarantine(node_id="n1"), Quarantine(node_id="n2")
+    _run(first, "e1", "popular")
+    _die(first, "e1")
+    second.merge_record(first.record("popular", NOW), NOW, "n1")
+    first.clear_suspect("popular")
+    assert first.take_clearances(NOW) == ("popular",)
+    second.merge_record(first.clearance("popular"), NOW, "n1")
+    assert not second.suspected("popular")
+    _run(second, "e2", "popular")
+    assert _die(second, "e2") == ()
+
+
+def test_a_quarantine_by_deaths_that_a_node_has_cleared_is_a_suspicion_there():
+    # The second node has missed the clearance, and quarantines the request by itself.
+    first, second = Quarantine(node_id="n1"), Quarantine(node_id="n2")
+    _run(first, "e1", "popular")
+    _die(first, "e1")
+    second.merge_record(first.record("popular", NOW), NOW, "n1")
+    first.clear_suspect("popular")
+    _run(second, "e2", "popular")
+    assert _die(second, "e2") == ("popular",)
+    first.merge_record(second.record("popular", NOW), NOW, "n2")
+    assert first.remaining_s("popular", NOW) == 0 and first.suspected("popular")
+    # It ends there once the clearance arrives.
+    second.merge_record(first.clearance("popular"), NOW, "n1")
+    assert second.remaining_s("popular", NOW) == 0
+
+
+def test_a_request_that_has_completed_before_its_crashes_is_quarantined():
+    quarantine = Quarantine()
+    _run(quarantine, "e1", "poison")
+    _die(quarantine, "e1")
+    quarantine.clear_suspect("poison")
+    for backend in ("e2", "e3"):
+        _run(quarantine, backend, "poison")
+        _die(quarantine, backend)
+    assert quarantine.remaining_s("poison", NOW) == 600
+
+
+def test_clearances_are_bounded_and_end():
+    quarantine = Quarantine()
+    for number in range(6_000):
+        quarantine.merge(QuarantineEntry(f"s{number}", 60.0, ("d",)), NOW)
+        quarantine.clear_suspect(f"s{number}")
+    assert len(quarantine._cleared) <= 4_096
+    assert len(quarantine.take_clearances(NOW)) <= 256
+    quarantine.merge(QuarantineEntry("other", 60.0), NOW + 1_000)
+    assert not quarantine._cleared
+
+
 def load_tests(loader, tests, pattern):
     return collect(globals())
