Ask peers again that lost the query of a node that starts

Callers would see: a node whose three queries, or their answers, were lost serves callers without the quarantine until the next update of a peer.

Cause: each peer was asked once.

Change: peers that haven't answered are asked again, for a second in all.

--- a/src/tanagerkeel/relay_entry/_quarantine_exchange.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_exchange.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import random
 from collections.abc import Iterator
@@ -133,20 +134,26 @@
             await clock.sleep(START_CHECK_INTERVAL_S)
 
     async def _learn(self) -> None:
-        """Ask peers until one that serves callers has told all that it knows."""
+        """
+        Ask peers until one that serves callers has told all that it knows.
+
+        Those that don't answer are asked again, as datagrams may be lost.
+        """
         own_domain = self._state.settings.failure_domain
         peers = list(self._state.peers.others)
         self._random.shuffle(peers)
         peers.sort(key=lambda peer: peer.failure_domain != own_domain)
         began_s = self._state.clock.monotonic()
-        asked = 0
+        unheard = collections.deque(peers)
         informed = False
         try:
             async with asyncio.timeout(LEARNING_S):
-                while peers[asked:] and not informed:
-                    batch = peers[asked : asked + PEERS_AT_A_TIME]
-                    asked += len(batch)
-                    informed = await self._fetch_from_any(batch)
+                while unheard and not informed:
+                    count = min(PEERS_AT_A_TIME, len(unheard))
+                    batch = [unheard.popleft() for _ in range(count)]
+                    answers = await self._fetch_from_any(batch)
+                    informed = any(answers.values())
+                    unheard.extend(p for p in batch if p.node_id not in answers)
         except TimeoutError:
             # Updates of the peers make up for it, as for any lost datagram.
             pass
@@ -154,22 +161,31 @@
         log(
             LogEvent.QUARANTINE_ASKED_FOR,
             peers=len(peers),
-            asked=asked,
+            unheard=len(unheard),
             informed=informed,
             took_s=round(now - began_s, 3),
             known=len(self._state.quarantine.records_after("", MAX_RECORDS, now)),
         )
 
-    async def _fetch_from_any(self, peers: list[Peer]) -> bool:
-        """Return whether one of several peers has told all, and serves callers."""
-        fetches = [asyncio.ensure_future(self._fetch(peer)) for peer in peers]
+    async def _fetch_from_any(self, peers: list[Peer]) -> dict[str, bool]:
+        """
+        Fetch the records of several peers until one that serves callers has told all.
+
+        :returns: by the id of each peer that has answered, whether it serves callers.
+        """
+        fetches = {asyncio.ensure_future(self._fetch(p)): p.node_id for p in peers}
+        answers: dict[str, bool] = {}
+        pending = set(fetches)
         try:
-            for fetch in asyncio.as_completed(fetches):
-                if await fetch:
-                    return True
-            return False
+            while pending and not any(answers.values()):
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                found = ((fetches[fetch], fetch.result()) for fetch in done)
+                answers |= {name: told for name, told in found if told is not None}
+            return answers
         finally:
-            for fetch in fetches:
+            for fetch in pending:
                 fetch.cancel()
 
     def _differing_peer(self) -> Peer | None:
--- a/tests/platform/test_quarantine_news.py
+++ b/tests/platform/test_quarantine_news.py
@@ -207,6 +207,22 @@
                 assert time.monotonic() - began_s < LEARNING_S + 0.5
 
 
+async def test_a_node_that_starts_asks_again_after_a_lost_datagram():
+    async with running_relay(respond_with_id) as relay:
+        quarantine_at(relay.node, "f")
+        datagrams = relay.node._peer_updates._datagrams
+        received, arrived = datagrams._on_datagram, []
+
+        def lose_first_three(data: bytes, address: tuple[str, int]) -> None:
+            if len(arrived) >= 3:
+                received(data, address)
+            arrived.append(data)
+
+        datagrams._on_datagram = lose_first_three
+        async with started_node(relay) as node:
+            assert knows(node, "f")
+
+
 async def test_a_node_refuses_callers_until_its_peers_have_told():
     async with running_relay(respond_with_id, node_count=2) as relay:
         await hear_each_other(relay)
