Restart and replace nodes in the soak's drills, and under a crashing request

The soak restarted no nodes on purpose while the store returned from copies, and excused a revoked key at nodes that had started since; no request crashed engines by its whole content.

Kind drills: nodes are stopped, killed and replaced by others of other names and addresses while the store returns, also from a copy of before a revocation, and the operator writes again within 1.8 s. The excuse for revoked keys is gone.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -35,6 +35,7 @@
     LIMITED_ENGINE_HEADER,
     Engine,
     MemoryStore,
+    StoreCopy,
     chunk,
     close_connection,
     configuration,
@@ -45,7 +46,7 @@
 )
 from tests.platform.soak_answers import FALSE_ANSWERS, write_false_answer
 from tests.platform.soak_cuts import FirstTries
-from tests.platform.soak_eras import Owners
+from tests.platform.soak_eras import DRILL_REWRITE_S, Owners
 from tests.platform.soak_leaving import STABLE_S, LeavingChecker
 from tests.platform.soak_limits import LIMIT_VALUE, LimitChecker
 from tests.platform.soak_links import Link, StoreServer
@@ -56,6 +57,13 @@
     RANKED_MIX,
     RankChecker,
 )
+from tests.platform.soak_restarts import (
+    KNOWN_S,
+    POISON,
+    POISON_INTERVAL_S,
+    PoisonChecker,
+    Restarts,
+)
 from tests.platform.soak_sections import (
     CRASHING_SECTION,
     SectionChecker,
@@ -74,6 +82,14 @@
 
 # The program of a node process, relative to the root.
 PROGRAM = "platform/run.py"
+# Addresses in a node's settings: callers' first, then readiness.
+LISTEN_FIELDS = (
+    "callers_listen",
+    "readiness_listen",
+    "metrics_listen",
+    "news_listen",
+    "forward_listen",
+)
 NODE_COUNT = 3
 ENGINE_COUNT = 4
 CLIENT_COUNT = 12
@@ -186,6 +202,7 @@
     """
     Records what engines ran and clients received, and checks it against the guarantees.
 
+    :param revoke_bound_s: latest use of a key after it was removed, in seconds.
     :param runs: how many times engines ran each request.
     :param key_by_request: the key that each request was sent with.
     :param revoked_s: monotonic time at which each revoked key was removed, in seconds;
@@ -197,15 +214,13 @@
     :param announced_s: monotonic time at which a client first received an engine's
         announcement that it leaves, in seconds, by node and engine.
     :param drained: ids of engines that may get no request, as their entries say so.
-    :param rewritten_s: when entries that the store had lost were written again, by key.
-    :param disturbed_s: monotonic time at which each node was last restarted or frozen,
-        in seconds.
     :param hold_offs: the latest hold-off that each engine asked each node for, by node
         and engine.
     :param first_tries: compares nodes that are cut off from all engines with others.
     :param leaving: checks the requests to engines whose entry says that they leave.
     :param limits: counts the requests to engines that name a limit.
     :param sections: counts the requests with a section that crashes engines.
+    :param poison: counts the arrivals of the request that crashes engines.
     :param ranks: checks the order of requests that have ranks.
     :param violations: violated guarantees. Each begins with a word: ``UNASKED`` (an
         engine ran a request that no client sent), ``CONFIG`` (a revoked key was used),
@@ -227,6 +242,7 @@
         (``cut``) or without a response (``none``).
     """
 
+    revoke_bound_s: float = REVOKE_BOUND_S
     runs: collections.Counter[str] = attrs.field(factory=collections.Counter)
     key_by_request: dict[str, str] = attrs.field(factory=dict)
     revoked_s: dict[str, float] = attrs.field(factory=dict)
@@ -235,13 +251,12 @@
     senders: dict[int, str] = attrs.field(factory=dict)
     announced_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     drained: set[str] = attrs.field(factory=set)
-    rewritten_s: dict[str, float] = attrs.field(factory=dict)
-    disturbed_s: dict[str, float] = attrs.field(factory=dict)
     hold_offs: dict[tuple[str, str], HoldOff] = attrs.field(factory=dict)
     first_tries: FirstTries = attrs.field(factory=FirstTries)
     leaving: LeavingChecker = attrs.field(factory=LeavingChecker)
     limits: LimitChecker = attrs.field(factory=LimitChecker)
     sections: SectionChecker = attrs.field(factory=SectionChecker)
+    poison: PoisonChecker = attrs.field(factory=PoisonChecker)
     ranks: RankChecker = attrs.field(factory=RankChecker)
     violations: list[str] = attrs.field(factory=list)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
@@ -253,12 +268,8 @@
             self.violations.append(f"UNASKED {request_id}")
             return
         revoked_s = self.revoked_s.get(key)
-        node = self.node_by_request[request_id]
-        if revoked_s is not None and self.disturbed_s.get(node, 0.0) > revoked_s:
-            # A node that has started since then may have read an older copy.
-            revoked_s = max(revoked_s, self.rewritten_s.get("op/config", 0.0))
         if revoked_s is not None and self.sent_s[request_id] > (
-            revoked_s + REVOKE_BOUND_S + REVOKE_SLACK_S
+            revoked_s + self.revoke_bound_s + REVOKE_SLACK_S
         ):
             self.violations.append(f"CONFIG {request_id} ran with a revoked key")
 
@@ -314,8 +325,8 @@
 
     def excuse_node(self, node: str) -> None:
         """Forget what a node knew before its process was restarted or frozen."""
-        self.disturbed_s[node] = time.monotonic()
         self.sections.record_disruption(node)
+        self.poison.record_disruption(node)
         self.limits.record_disruption(node)
         for known in (self.announced_s, self.hold_offs):
             for key in [key for key in known if key[0] == node]:
@@ -338,6 +349,12 @@
                 f"BUDGET {request_id} with a crashing section by {node}"
             )
 
+    def check_poison(self, request_id: str) -> None:
+        """Check that few requests arrive that are known to crash engines."""
+        node = self.node_by_request.get(request_id, "")
+        if self.poison.record_arrival(node):
+            self.violations.append(f"BUDGET {request_id} crashes engines, by {node}")
+
     def check_response(self, call: Call) -> None:
         name, response = call.request_id, call.response
         if call.kind == "reserve" and self.runs[name] > 1:
@@ -433,6 +450,13 @@
             checker.record_hold_off(node, engine.engine_id)
             await fixtures.shed_request(engine, request, writer)
             return
+        if request.body == POISON:
+            checker.check_poison(request.request_id)
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            if crash():
+                checker.poison.record_crash()
+            fixtures.reset_connection(writer)
+            return
         if CRASHING_SECTION in shared_sections(request):
             checker.check_crashing_section(request.request_id)
             await asyncio.sleep(EVENT_INTERVAL_S)
@@ -650,6 +674,10 @@
         change, nodes are killed and engines leave.
     :param series_first: whether planned work comes in series, and nothing else, while
         clients keep their connections.
+    :param drills_first: likewise, whether nodes are restarted or replaced while the
+        store returns from older copies, after a key was revoked.
+    :param poison_first: likewise, whether nodes are restarted or replaced while a
+        request that crashes engines comes again.
     :param version: version of the next configuration.
     :param newest_version: version of the newest configuration. Each has a route of its
         own, named after it.
@@ -678,9 +706,12 @@
     cuts_first: bool = False
     ranks_first: bool = False
     series_first: bool = False
+    drills_first: bool = False
+    poison_first: bool = False
     versions: Versions = attrs.field(factory=Versions)
     stalls: StallMonitor = attrs.field(factory=StallMonitor)
     planned: PlannedWork = attrs.field(init=False)
+    restarts: Restarts = attrs.field(init=False)
     fault_rates: dict[str, float] = attrs.field(init=False)
     nodes: list[NodeProcess] = attrs.field(factory=list)
     engines: list[Engine] = attrs.field(factory=list)
@@ -703,11 +734,12 @@
     _crashing_requests: int = 0
     _probes: int = 0
     _chats: int = 0
+    _replaced: int = 0
+    _taken_ports: set[int] = attrs.field(init=False, factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.owners = Owners(self.store, self.rng)
-        self.checker.rewritten_s = self.owners.rewritten_s
         self.planned = PlannedWork(
             self.rng,
             self.nodes,
@@ -716,6 +748,14 @@
             self._configure_anew,
             self._silence_store,
         )
+        if self.removes_first or self.drills_first or self.poison_first:
+            # With the short bound, a node whose watch is silent, or returns a change
+            # late, would refuse all requests for a time, and so would nodes for most
+            # of the time between returns of the store.
+            self.checker.revoke_bound_s = USERS_REVOKE_BOUND_S
+        self.restarts = Restarts(
+            self.rng, self._restart_node, self._replace_node, self.node_count
+        )
         self.fault_rates = self._usual_fault_rates
 
     async def run(self) -> list[str]:
@@ -763,20 +803,15 @@
             self._register(number)
         self._configure()
         host = loopback_address(self.port_rng)
-        taken_ports: set[int] = set()
         for number in range(self.node_count):
             addresses = [
-                f"{host}:{free_port(self.port_rng, host, taken_ports)}"
-                for _ in range(5)
+                f"{host}:{free_port(self.port_rng, host, self._taken_ports)}"
+                for _ in LISTEN_FIELDS
             ]
             settings = {
                 "node_id": f"node-{number}",
                 "failure_domain": failure_domain(number),
-                "callers_listen": addresses[0],
-                "readiness_listen": addresses[1],
-                "metrics_listen": addresses[2],
-                "news_listen": addresses[3],
-                "forward_listen": addresses[4],
+                **dict(zip(LISTEN_FIELDS, addresses, strict=True)),
                 "platform": await self._serve_store(f"node-{number}"),
                 "bounds": {"revoke_ms": self._revoke_ms, "grace_s": 3.0},
                 "drain_delay_s": 0.3,
@@ -799,10 +834,7 @@
 
     @property
     def _revoke_ms(self) -> int:
-        # With the short bound, a node whose watch is silent would refuse all requests
-        # before the bound on engines that leave begins to hold.
-        bound_s = USERS_REVOKE_BOUND_S if self.removes_first else REVOKE_BOUND_S
-        return int(1_000 * bound_s)
+        return int(1_000 * self.checker.revoke_bound_s)
 
     async def _serve_store(self, node: str) -> str:
         """Start a node's links to the engines and the store; return the store's."""
@@ -903,6 +935,20 @@
             await self._disturb_ranked(end)
         if self.crashes_first:
             await self._send_crashing_requests(self.seconds)
+        await self._run_restarts(end)
+
+    async def _run_restarts(self, end: float) -> None:
+        if self.drills_first:
+            copy = self.store.copy()
+            self._revoke()
+            await self.restarts.run_drills(
+                end, functools.partial(self._drill_store, copy)
+            )
+        if self.poison_first:
+            self._start_fault(self._send_poison(end))
+            await asyncio.sleep(KNOWN_S)
+            self.checker.poison.record_first_restart()
+            await self.restarts.run_series(end)
 
     def _start_fault(self, body: Coroutine[None, None, None]) -> asyncio.Task:
         fault = asyncio.create_task(body)
@@ -1000,9 +1046,7 @@
             case "configuration":
                 self._configure()
             case "revoke" if KEYS[1] not in self.checker.revoked_s:
-                self.checker.revoked_s[KEYS[1]] = float("inf")
-                self._configure()
-                self.checker.revoked_s[KEYS[1]] = time.monotonic()
+                self._revoke()
             case "leave":
                 await self._leave(self.rng.randrange(ENGINE_COUNT), duration_s)
             case "announce":
@@ -1011,6 +1055,66 @@
                 drains = self.rng.random() < 0.5
                 await self._remove(self.rng.randrange(ENGINE_COUNT), drains)
 
+    def _revoke(self) -> None:
+        self.checker.revoked_s[KEYS[1]] = float("inf")
+        self._configure()
+        self.checker.revoked_s[KEYS[1]] = time.monotonic()
+
+    async def _drill_store(self, unrevoked: StoreCopy) -> None:
+        """Let the store return from a copy, also from one before the revocation."""
+        copy = self.rng.choice((unrevoked, None))
+        with self.checker.leaving.disruption("store"):
+            await self.owners.return_from_copy(rewrite_s=DRILL_REWRITE_S, copy=copy)
+
+    async def _restart_node(self, number: int, signal_number: int) -> None:
+        node = self.nodes[number]
+        with self.checker.leaving.disruption("process", node.name):
+            await node.restart(signal_number)
+        self.checker.excuse_node(node.name)
+        await node.until_ready()
+
+    async def _replace_node(self, number: int) -> None:
+        """Kill a node for good, and start one with another name and addresses."""
+        old = self.nodes[number]
+        settings = json.loads(old.settings.read_text())
+        self._replaced += 1
+        name = f"node-{number}-{self._replaced}"
+        host, _, _ = old.callers.rpartition(":")
+        settings["node_id"] = name
+        for field in LISTEN_FIELDS:
+            port = free_port(self.port_rng, host, self._taken_ports)
+            settings[field] = f"{host}:{port}"
+        for links in (self.engine_links, self.store_links):
+            links[name] = links[old.name]
+        for link in self.engine_links[name]:
+            link.node = name
+        with self.checker.leaving.disruption("process", old.name):
+            await old.stop(signal.SIGKILL)
+            new = NodeProcess(
+                name,
+                old.settings.with_name(f"{name}-{self.seed}.json"),
+                settings["callers_listen"],
+                settings["readiness_listen"],
+                self.program,
+                self.add_violation,
+            )
+            new.settings.write_text(json.dumps(settings))
+            await new.start()
+            self.nodes[number] = new
+        self.checker.excuse_node(name)
+        await new.until_ready()
+
+    async def _send_poison(self, end_s: float) -> None:
+        """Send the request that crashes engines to all nodes in turn."""
+        sent = 0
+        async with asyncio.TaskGroup() as calls:
+            while time.monotonic() < end_s:
+                sent += 1
+                call = Call(f"poison-{sent}", "reserve", KEYS[0], 0.0)
+                node = self.nodes[sent % len(self.nodes)]
+                calls.create_task(self._call(call, node, body=POISON))
+                await asyncio.sleep(POISON_INTERVAL_S)
+
     async def _leave(self, number: int, duration_s: float) -> None:
         """Delete an engine's entry, and write that of a new incarnation later."""
         if number in self._busy_engines:
@@ -1331,7 +1435,11 @@
         self.checker.node_by_request[call.request_id] = node.name
 
     async def _call(
-        self, call: Call, node: NodeProcess, crashing: bool = False
+        self,
+        call: Call,
+        node: NodeProcess,
+        crashing: bool = False,
+        body: bytes | None = None,
     ) -> None:
         self._record_sent(call, node)
         self.checker.ranks.record_sent(
@@ -1352,7 +1460,7 @@
                     f"/{call.kind}/x",
                     request_id=call.request_id,
                     method="GET" if call.kind == "lookup" else "POST",
-                    body=b"" if call.kind == "lookup" else call.request_id.encode(),
+                    body=_body(call) if body is None else body,
                     key=call.key,
                     headers=headers,
                     **options,
@@ -1401,6 +1509,10 @@
         return False
 
 
+def _body(call: Call) -> bytes:
+    return b"" if call.kind == "lookup" else call.request_id.encode()
+
+
 async def _ready(node: NodeProcess) -> bool:
     try:
         async with asyncio.timeout(1.0):
@@ -1453,9 +1565,11 @@
     )
     parser.add_argument(
         "--kind",
-        choices=("ranks", "series"),
-        help="let requests have ranks and wait, or planned work come in series while "
-        "clients keep their connections, in place of most other faults",
+        choices=("ranks", "series", "drills", "poison"),
+        help="let requests have ranks and wait, planned work come in series while "
+        "clients keep their connections, nodes restart while the store returns from "
+        "copies, or while a request that crashes engines comes again, in place of "
+        "most other faults",
     )
     parser.add_argument(
         "--keep",
@@ -1479,6 +1593,8 @@
                     removes_first=options.removes,
                     ranks_first=options.kind == "ranks",
                     series_first=options.kind == "series",
+                    drills_first=options.kind == "drills",
+                    poison_first=options.kind == "poison",
                 )
             )
             if run.checker.violations:
@@ -1490,6 +1606,9 @@
         if options.kind == "ranks":
             ranks = run.checker.ranks
             print(f"{ranks.waited} of {len(ranks.requests)} ranked requests waited")
+        if options.kind in ("drills", "poison"):
+            crashes = len(run.checker.poison.crashes_s)
+            print(f"{run.restarts.restarted} restarts, {crashes} crashes")
     print(f"{failed} seeds failed")
     return 1 if failed else 0
 
--- a/tests/platform/soak_eras.py
+++ b/tests/platform/soak_eras.py
@@ -19,6 +19,8 @@
 AWAY_S = (0.2, 2.0)
 # The owners have written all again within this time after a return, in seconds.
 REWRITE_S = 0.5
+# The same in drills, in seconds; nodes allow two seconds.
+DRILL_REWRITE_S = 1.8
 # Prefixes of the keys of operators and backend servers.
 OWNED_PREFIXES = ("op/", "servers/")
 
@@ -31,14 +33,11 @@
     :param store: the store.
     :param rng: source of the ages of copies and of delays.
     :param entries: what the owners have written last, by key.
-    :param rewritten_s: monotonic time at which a lost entry was last written again, by
-        key, in seconds.
     """
 
     store: MemoryStore
     rng: random.Random
     entries: dict[str, object] = attrs.field(factory=dict)
-    rewritten_s: dict[str, float] = attrs.field(factory=dict)
     _copies: "collections.deque[tuple[float, StoreCopy]]" = attrs.field(
         factory=collections.deque
     )
@@ -69,25 +68,31 @@
                     self.write(key, {**entry, "sequence": entry["sequence"] + 1})
 
     async def return_from_copy(
-        self, on_return: Callable[[], None] = lambda: None
+        self,
+        on_return: Callable[[], None] = lambda: None,
+        rewrite_s: float = REWRITE_S,
+        copy: StoreCopy | None = None,
     ) -> None:
         """
         Take the store away, bring an older copy back, and write the rest again.
 
         :param on_return: called when the store is back and no node has called it yet.
+        :param rewrite_s: within what time the rest is written, in seconds.
+        :param copy: the copy; None for one of the usual ages.
         """
         async with self._returning:
             copied_s = time.monotonic() - self.rng.choice(COPY_AGES_S)
             self.store.down = True
             await asyncio.sleep(self.rng.uniform(*AWAY_S))
-            copy = next(copy for at_s, copy in self._copies if at_s >= copied_s)
+            if copy is None:
+                copy = next(copy for at_s, copy in self._copies if at_s >= copied_s)
             self.store.restore(copy)
             # Later copies are of writes that are lost.
             kept = [pair for pair in self._copies if pair[0] <= copied_s]
             self._copies = collections.deque([*kept, (copied_s, copy)])
             on_return()
             self.store.down = False
-            await asyncio.sleep(self.rng.uniform(0.0, REWRITE_S))
+            await asyncio.sleep(self.rng.uniform(0.0, rewrite_s))
             self._write_again()
 
     def _write_again(self) -> None:
@@ -97,7 +102,6 @@
             value = self.entries[key]
             if self.store.value(key) != json.dumps(value).encode():
                 self.store.write(key, value)
-                self.rewritten_s[key] = time.monotonic()
         for key in self.store.keys():
             if key.startswith(OWNED_PREFIXES) and key not in self.entries:
                 self.store.delete(key)
--- a/tests/platform/soak_sections.py
+++ b/tests/platform/soak_sections.py
@@ -38,12 +38,14 @@
     """
     Counts the requests with the crashing section that reach engines.
 
+    :param late_crashes: after how many crashes the bound holds.
     :param crashes_s: monotonic time of each crash, in seconds.
     :param late_requests: requests that nodes in touch sent after the bound.
     :param disrupted_s: monotonic time at which each node was last restarted, frozen or
         reloaded, or a link was disturbed, in seconds.
     """
 
+    late_crashes: int = LATE_CRASHES
     crashes_s: list[float] = attrs.field(factory=list)
     late_requests: int = 0
     disrupted_s: dict[str, float] = attrs.field(factory=dict)
@@ -58,7 +60,9 @@
         """Count a request from a node; return whether the bound is exceeded."""
         now = time.monotonic()
         in_touch = now - self.disrupted_s.get(node, 0.0) > STABLE_S
-        crashed = len(self.crashes_s) >= LATE_CRASHES
-        if in_touch and crashed and now > self.crashes_s[LATE_CRASHES - 1] + STABLE_S:
+        if len(self.crashes_s) < self.late_crashes:
+            return False
+        bound_s = self.crashes_s[self.late_crashes - 1] + STABLE_S
+        if in_touch and now > bound_s:
             self.late_requests += 1
         return self.late_requests > MAX_LATE_REQUESTS
