Let deaths that two nodes saw quarantine for as long as those of one

Cause: a node at which two deaths add up by a peer's suspicion quarantined the request for what was left of the suspicion, 300 s at most, and nodes that agree on the evidence take the shorter time.

Change: the quarantine ends 600 s after the last death, wherever it adds up. A node that starts waits for its configuration without polling, and keeps no digest of peers that hold nothing.

Measured: test_deaths_that_two_nodes_saw_quarantine_as_long_as_those_of_one passes.

--- a/src/tanagerkeel/quarantine.py
+++ b/src/tanagerkeel/quarantine.py
@@ -32,7 +32,7 @@
 @attrs.frozen
 class QuarantineEntry:
     """
-    A suspected or quarantined request, as nodes exchange it.
+    A suspected or quarantined request, as all builds exchange it.
 
     :param fingerprint: hash of the request's account, model and prompt.
     :param remaining_s: time until the entry expires, in seconds.
@@ -377,9 +377,10 @@
         suspect.death_hashes |= deaths
         suspect.observer = record.observer
         if len(suspect.death_hashes) >= DEATHS_TO_QUARANTINE:
+            # As long after this death as at the node that saw it.
             self._quarantine(
                 record.fingerprint,
-                until_s,
+                until_s + QUARANTINE_TTL_S - SUSPICION_TTL_S,
                 suspect.death_hashes,
                 record.observer,
                 sender,
@@ -416,7 +417,7 @@
             del self._evidence[fingerprint]
         return True
 
-    def take_clearances(self, now: float) -> tuple[str, ...]:
+    def take_clearances(self) -> tuple[str, ...]:
         """Return the fingerprints that were cleared since the last call."""
         fingerprints = tuple(self._new_clearances)
         self._new_clearances.clear()
--- a/src/tanagerkeel/relay_entry/_quarantine_exchange.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_exchange.py
@@ -39,7 +39,7 @@
 # It refuses callers meanwhile.
 PEERS_AT_A_TIME = 3
 LEARNING_S = 1.0
-# Interval at which a node that starts checks whether it can ask, in seconds.
+# Interval at which a node that starts checks whether it has the key, in seconds.
 START_CHECK_INTERVAL_S = 0.02
 # Interval at which tables are compared, in seconds. Updates that arrive within it after
 # a change may have been made before the change.
@@ -132,7 +132,7 @@
         """Wait for the list of peers, and for a time for the key that signs."""
         clock = self._state.clock
         while self._state.configuration is None:
-            await clock.sleep(START_CHECK_INTERVAL_S)
+            await self._state.wait_for_change(LEARNING_S)
         until_s = clock.monotonic() + LEARNING_S
         while not self._peer_updates.able_to_send and clock.monotonic() < until_s:
             await clock.sleep(START_CHECK_INTERVAL_S)
@@ -266,7 +266,8 @@
     ) -> None:
         """Merge what an update of a peer says."""
         now = self._state.clock.monotonic()
-        self._digests[sender] = (digest, now)
+        if digest or sender in self._digests:
+            self._digests[sender] = (digest, now)
         if digest not in (0, self._own_digest):
             self._differs.set()
         for record in records:
--- a/src/tanagerkeel/relay_entry/_quarantine_reports.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_reports.py
@@ -34,7 +34,7 @@
     def take(self, now: float) -> tuple[QuarantineRecord, ...]:
         """Return the records of the next update, those sent least often first."""
         found = (entry.fingerprint for entry in self._quarantine.take_updates(now))
-        for fingerprint in (*found, *self._quarantine.take_clearances(now)):
+        for fingerprint in (*found, *self._quarantine.take_clearances()):
             self._sends_left.pop(fingerprint, None)
             self._sends_left[fingerprint] = SENDS
         while len(self._sends_left) > MAX_PENDING:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -217,6 +217,18 @@
     assert quarantine.remaining_s("poison", NOW + 800) == 600
 
 
+def test_deaths_that_two_nodes_saw_quarantine_as_long_as_those_of_one():
+    first, second = Quarantine(node_id="n1"), Quarantine(node_id="n2")
+    _run(first, "e1", "poison")
+    _die(first, "e1")
+    _run(second, "e2", "poison")
+    _die(second, "e2", NOW + 10)
+    record = second.record("poison", NOW + 10)
+    assert first.merge_record(record, NOW + 15, "n2")
+    assert first.remaining_s("poison", NOW + 15) == 600
+    assert record.remaining_s == 300
+
+
 def test_endless_new_evidence_does_not_extend_a_quarantine_for_ever():
     quarantine = Quarantine()
     for number in range(1_000):
@@ -270,7 +282,7 @@
     _die(first, "e1")
     second.merge_record(first.record("popular", NOW), NOW, "n1")
     first.clear_suspect("popular")
-    assert first.take_clearances(NOW) == ("popular",)
+    assert first.take_clearances() == ("popular",)
     second.merge_record(first.clearance("popular"), NOW, "n1")
     assert not second.suspected("popular")
     _run(second, "e2", "popular")
@@ -310,7 +322,7 @@
         quarantine.merge(QuarantineEntry(f"s{number}", 60.0, ("d",)), NOW)
         quarantine.clear_suspect(f"s{number}")
     assert len(quarantine._cleared) <= 4_096
-    assert len(quarantine.take_clearances(NOW)) <= 256
+    assert len(quarantine.take_clearances()) <= 256
     quarantine.merge(QuarantineEntry("other", 60.0), NOW + 1_000)
     assert not quarantine._cleared
 
