--- a/bench/starts.py
+++ b/bench/starts.py
@@ -14,6 +14,7 @@
 import attrs
 from tests.platform.fixtures import (
     ANY_PORT,
+    CONFIGURATION_KEY,
     MemoryStore,
     configuration,
     free_address,
@@ -87,7 +88,7 @@
 async def measure(nodes_count: int, traffic: Traffic) -> tuple[object, ...]:
     """Return a row of the table."""
     store = MemoryStore()
-    store.write("op/config", configuration())
+    store.write(CONFIGURATION_KEY, configuration())
     domains = min(MAX_DOMAINS, max(3, nodes_count // 15))
     nodes = [
         make_node(store, f"n{number}", f"zone-{number % domains}")
--- a/tests/platform/fixtures.py
+++ b/tests/platform/fixtures.py
@@ -26,6 +26,7 @@
 from tanagerkeel.relay_entry import RelayBounds, RelayNode, RelaySettings
 from tests.fixtures import abort_with_reset, reset_connection
 
+CONFIGURATION_KEY = "op/config"
 # The key by which nodes tell those that start that the era of the store is settled.
 SETTLED_ERA_KEY = "tanagerkeel/settled-era"
 # Below the ports that the operating system gives to outgoing connections, so that none
@@ -852,7 +853,7 @@
         await engine.start()
         store.write(f"servers/{engine.engine_id}", engine.store_entry(service))
     if configured:
-        store.write("op/config", document or configuration())
+        store.write(CONFIGURATION_KEY, document or configuration())
     bounds = bounds or RelayBounds(grace_s=3.0)
     nodes = [
         make_node(connect(store), f"node-{number}", bounds, adapt)
