--- a/src/tanagerkeel/relay_entry/_quarantine_exchange.py
+++ b/src/tanagerkeel/relay_entry/_quarantine_exchange.py
@@ -141,7 +141,8 @@
         """
         Ask peers until one that serves callers has told all that it knows.
 
-        Those that don't answer are asked again, as datagrams may be lost.
+        Those that don't answer are asked again, as datagrams may be lost, and then with
+        two datagrams.
         """
         own_domain = self._state.settings.failure_domain
         peers = list(self._state.peers.others)
@@ -149,13 +150,16 @@
         peers.sort(key=lambda peer: peer.failure_domain != own_domain)
         began_s = self._state.clock.monotonic()
         unheard = collections.deque(peers)
+        asked: set[str] = set()
         informed = False
         try:
             async with asyncio.timeout(LEARNING_S):
                 while unheard and not informed:
                     count = min(PEERS_AT_A_TIME, len(unheard))
                     batch = [unheard.popleft() for _ in range(count)]
-                    answers = await self._fetch_from_any(batch)
+                    copies = 1 + any(peer.node_id in asked for peer in batch)
+                    asked.update(peer.node_id for peer in batch)
+                    answers = await self._fetch_from_any(batch, copies)
                     informed = any(answers.values())
                     unheard.extend(p for p in batch if p.node_id not in answers)
         except TimeoutError:
@@ -171,13 +175,16 @@
             known=len(self._state.quarantine.records_after("", MAX_RECORDS, now)),
         )
 
-    async def _fetch_from_any(self, peers: list[Peer]) -> dict[str, bool]:
+    async def _fetch_from_any(self, peers: list[Peer], copies: int) -> dict[str, bool]:
         """
         Fetch the records of several peers until one that serves callers has told all.
 
+        :param copies: how many times each query is sent.
         :returns: by the id of each peer that has answered, whether it serves callers.
         """
-        fetches = {asyncio.ensure_future(self._fetch(p)): p.node_id for p in peers}
+        fetches = {
+            asyncio.ensure_future(self._fetch(p, copies)): p.node_id for p in peers
+        }
         answers: dict[str, bool] = {}
         pending = set(fetches)
         try:
@@ -207,15 +214,16 @@
         known = [peer for peer in peers if peer is not None]
         return self._random.choice(known) if known else None
 
-    async def _fetch(self, peer: Peer) -> bool | None:
+    async def _fetch(self, peer: Peer, copies: int = 1) -> bool | None:
         """
         Merge all records of a peer.
 
+        :param copies: how many times each query is sent.
         :returns: whether it serves callers; None if it didn't answer.
         """
         after = ""
         for _ in range(MAX_ANSWERS):
-            answer = await self._query(peer, after)
+            answer = await self._query(peer, after, copies)
             if answer is None:
                 return None
             if not answer.more or not answer.records:
@@ -223,14 +231,15 @@
             after = answer.records[-1].fingerprint
         return True
 
-    async def _query(self, peer: Peer, after: str) -> _Answer | None:
+    async def _query(self, peer: Peer, after: str, copies: int) -> _Answer | None:
         number = next(self._numbers)
         reply = asyncio.get_running_loop().create_future()
         self._pending[number] = reply
         try:
             query = _Query(number, after, self._state.settings.news_listen)
-            if not self._peer_updates.send_to(peer, QUERY_KIND, query):
-                return None
+            for _ in range(copies):
+                if not self._peer_updates.send_to(peer, QUERY_KIND, query):
+                    return None
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await reply
         except TimeoutError:
