Restore the single run in which the mutant of young eras must be found

Cause: let any of four runs find confirms_young_eras.py, after one whole run had missed it. That is a looser check, and that chance was the cause was supposed, not traced.

--- a/tests/platform/test_soak_restarts.py
+++ b/tests/platform/test_soak_restarts.py
@@ -16,13 +16,10 @@
 
 def test_a_revoked_key_that_runs_at_nodes_that_restart_is_detected():
     program = str(MUTANTS / "confirms_young_eras.py")
-    # Some runs start no node between a return and the operator's write.
-    runs = (
-        run_soak(16.0, program, SEED + number, fault_rate=0.0, drills_first=True)
-        for number in range(4)
+    checker = run_soak(16.0, program, fault_rate=0.0, drills_first=True)
+    assert any(line.startswith("CONFIG") for line in checker.violations), (
+        checker.violations[:3]
     )
-    found = (line for checker in runs for line in checker.violations)
-    assert any(line.startswith("CONFIG") for line in found)
 
 
 def test_a_request_that_crashes_engines_is_known_to_nodes_that_restart():
